--- a/lib/src/code.rs
+++ b/lib/src/code.rs
@@ -40,7 +40,7 @@
     NoServer,
     /// The shard of the program has no owner at this moment.
     NoOwner,
-    /// The second copy of the program's state is out of reach, so the call cannot run safely.
+    /// The second copy of the program's state is out of reach: this sending of the call was not started, but whether an earlier one ran cannot be told.
     NoKeeper,
     /// The process is stopping.
     Stopping,
@@ -178,7 +178,7 @@
             Self::Overloaded => Ran::NotRun,
             Self::NoServer => Ran::NotRun,
             Self::NoOwner => Ran::NotRun,
-            Self::NoKeeper => Ran::NotRun,
+            Self::NoKeeper => Ran::Unknown,
             Self::Stopping => Ran::NotRun,
             Self::DeadlinePassed => Ran::NotRun,
             Self::TimedOut => Ran::Ran,
@@ -242,7 +242,7 @@
             Self::Overloaded => "The queue of the deployment or of the backend servers is full.",
             Self::NoServer => "No backend server for the call is in service.",
             Self::NoOwner => "The shard of the program has no owner at this moment.",
-            Self::NoKeeper => "The second copy of the program's state is out of reach, so the call cannot run safely.",
+            Self::NoKeeper => "The second copy of the program's state is out of reach: this sending of the call was not started, but whether an earlier one ran cannot be told.",
             Self::Stopping => "The process is stopping.",
             Self::DeadlinePassed => "The deadline passed before the call could start.",
             Self::TimedOut => "The backend server did not finish the idempotent call in time.",
--- a/lib/src/keeper.rs
+++ b/lib/src/keeper.rs
@@ -143,17 +143,23 @@
 impl Kept {
     fn apply(&mut self, change: Change) {
         match change {
-            Change::Begin => {}
+            Change::Begin | Change::Probe => {}
             Change::Program(copy) => {
                 self.programs.insert(copy.program, *copy);
             }
             Change::Update {
                 program,
                 head,
+                above,
                 record,
                 turns,
                 replace,
             } => {
+                for (ancestor, budget) in above {
+                    if let Some(copy) = self.programs.get_mut(&ancestor) {
+                        copy.head.budget = budget;
+                    }
+                }
                 let Some(copy) = self.programs.get_mut(&program) else {
                     return;
                 };
--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -154,6 +154,10 @@
         program: ProgramId,
         /// Its changing part.
         head: Box<ProgramHead>,
+        /// Budgets of the programs above, which the call draws on too. They
+        /// change together with the call, or a takeover would count it twice
+        /// or not at all.
+        above: Vec<(ProgramId, Budget)>,
         /// The call that changed.
         record: Option<Box<CallRecord>>,
         /// Messages that the history gains.
@@ -161,6 +165,9 @@
         /// Whether those replace the history.
         replace: bool,
     },
+    /// Changes nothing; its acknowledgement confirms that the sender still
+    /// owns the shard.
+    Probe,
     /// The program is no longer remembered.
     Forget(ProgramId),
     /// What began is complete.
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -43,6 +43,7 @@
 use crate::message::Ticket;
 use crate::outcome::Answer;
 use crate::outcome::Outcome;
+use crate::outcome::Ran;
 use crate::outcome::Refusal;
 use crate::placement::Affinity;
 use crate::placement::CallView;
@@ -121,6 +122,7 @@
 enum Step {
     Dispatch(CallId),
     Finish(CallId),
+    Refuse(Watcher, Refusal),
     Answer(Watcher, ProgramId),
 }
 
@@ -168,6 +170,11 @@
         }
     }
 
+    /// Returns whether changes have waited too long for a keeper.
+    fn is_stuck(&self, cx: &Context<'_>) -> bool {
+        self.phase == Phase::Whole && self.unkept_for(cx.now) >= cx.rules.alone_wait()
+    }
+
     /// Returns how long the oldest change has gone without acknowledgement.
     pub(crate) fn unkept_for(&self, now: Time) -> Duration {
         self.waiting
@@ -350,6 +357,11 @@
             self.after(cx, shard, seq, Step::Answer(watcher, open.program));
             return;
         }
+        let stuck = self.shards.get(&shard).is_some_and(|held| held.is_stuck(cx));
+        if stuck {
+            reply(cx, &watcher, Reply::Refused(Refusal::new(Code::NoKeeper)));
+            return;
+        }
         if let Err(refusal) = self.check_open(cx, open) {
             reply(cx, &watcher, Reply::Refused(refusal));
             return;
@@ -523,7 +535,7 @@
         };
         record.stage = CallStage::Done(Outcome::refused(code));
         program.copy.put(record.clone());
-        let change = update(&program.copy, Some(record), Vec::new(), false);
+        let change = update(&program.copy, Vec::new(), Some(record), Vec::new(), false);
         let seq = self.keep(cx, shard, change);
         self.after(cx, shard, seq, Step::Answer(watcher, judgement.program));
     }
@@ -554,7 +566,25 @@
         match self.first_number(cx, shard, &request) {
             Ok(Entrance::Fresh(number)) => self.enter(cx, shard, watcher, request, number),
             Ok(Entrance::Known(record)) => self.answer_again(cx, &watcher, &record, offset),
-            Err(refusal) => reply(cx, &watcher, Reply::Refused(refusal)),
+            Err(refusal) => self.refuse_caller(cx, shard, watcher, refusal),
+        }
+    }
+
+    /// Refuses a request that is no call under way. "Not run" is said once
+    /// the keeper confirms that no later owner has run it.
+    fn refuse_caller(
+        &mut self,
+        cx: &mut Context<'_>,
+        shard: Option<ShardId>,
+        watcher: Watcher,
+        refusal: Refusal,
+    ) {
+        match shard {
+            Some(shard) if refusal.code.ran() == Ran::NotRun => {
+                let seq = self.keep(cx, shard, Change::Probe);
+                self.after(cx, shard, seq, Step::Refuse(watcher, refusal));
+            }
+            _ => reply(cx, &watcher, Reply::Refused(refusal)),
         }
     }
 
@@ -864,12 +894,12 @@
         };
         let record = call.record.clone();
         let program = call.program;
+        let above = self.budgets_above(program);
         let Some(program) = self.programs.get_mut(&program) else {
             return;
         };
         program.copy.put(record.clone());
-        let change = update(&program.copy, Some(record), Vec::new(), false);
-        self.keep_parents(cx, id);
+        let change = update(&program.copy, above, Some(record), Vec::new(), false);
         let seq = self.keep(cx, shard, change);
         self.after(cx, shard, seq, Step::Dispatch(id));
     }
@@ -1031,12 +1061,9 @@
         attempt: u64,
         outcome: Outcome,
     ) {
+        // An end that belongs to no attempt under way is left alone: a later
+        // owner may still ask the server for it.
         if self.current(from, id, attempt).is_none() {
-            // The end is known already, or belongs to an attempt that was
-            // given up; the server need not keep it.
-            if !self.calls.contains_key(&id) {
-                cx.send(from, Message::Forget { call: id, attempt });
-            }
             return;
         }
         self.conclude(cx, id, outcome);
@@ -1148,7 +1175,7 @@
 
     /// Refuses a call that has not been given to any server.
     fn refuse(&mut self, cx: &mut Context<'_>, id: CallId, refusal: Refusal) {
-        debug_assert!(refusal.code.ran() != crate::outcome::Ran::Ran);
+        debug_assert!(refusal.code.ran() != Ran::Ran);
         self.conclude(cx, id, Outcome::Refused(refusal));
     }
 
@@ -1208,17 +1235,8 @@
             return;
         };
         let change = self.conclude_program(cx, id, &outcome, server.as_ref(), was_ahead);
-        let Some(change) = change else {
-            self.finish(cx, id);
-            return;
-        };
-        self.keep_parents(cx, id);
-        let seq = self.keep(cx, shard, change);
-        if outcome.is_not_run() {
-            self.finish(cx, id);
-        } else {
-            self.after(cx, shard, seq, Step::Finish(id));
-        }
+        let seq = self.keep(cx, shard, change.unwrap_or(Change::Probe));
+        self.after(cx, shard, seq, Step::Finish(id));
     }
 
     /// Notes the end of a call in its program; returns the change for the
@@ -1242,6 +1260,7 @@
             Outcome::Refused(_) => need,
         };
         self.settle_budget(program_id, need, used);
+        let above = self.budgets_above(program_id);
         let program = self.programs.get_mut(&program_id)?;
         program.touched = cx.now;
         if was_ahead {
@@ -1249,7 +1268,7 @@
             return (program.running == Some(id)).then(|| {
                 program.running = None;
                 program.copy.head.next -= 1;
-                update(&program.copy, None, Vec::new(), false)
+                update(&program.copy, above, None, Vec::new(), false)
             });
         }
         if outcome.is_not_run() {
@@ -1279,7 +1298,7 @@
                 }
             }
         }
-        Some(update(&program.copy, Some(record), turns, replace))
+        Some(update(&program.copy, above, Some(record), turns, replace))
     }
 
     fn leave_admission(&mut self, cx: &mut Context<'_>, id: CallId) {
@@ -1415,19 +1434,15 @@
         let Some(program) = self.programs.get(&id) else {
             return 0;
         };
-        let change = update(&program.copy, None, Vec::new(), false);
+        let change = update(&program.copy, Vec::new(), None, Vec::new(), false);
         self.keep(cx, id.shard(cx.rules.shards), change)
     }
 
-    /// Sends the budgets of the programs above a call's own, which the call
-    /// draws on too.
-    fn keep_parents(&mut self, cx: &mut Context<'_>, id: CallId) {
-        let Some(call) = self.calls.get(&id) else {
-            return;
-        };
-        for ancestor in self.line(call.program).into_iter().skip(1) {
-            self.keep_head(cx, ancestor);
-        }
+    /// Returns the budgets of the programs above one.
+    fn budgets_above(&self, id: ProgramId) -> Vec<(ProgramId, Budget)> {
+        let line = self.line(id).into_iter().skip(1);
+        line.filter_map(|id| Some((id, self.programs.get(&id)?.copy.head.budget)))
+            .collect()
     }
 
     fn after(&mut self, cx: &mut Context<'_>, shard: ShardId, seq: u64, step: Step) {
@@ -1449,6 +1464,7 @@
                 self.forget_done(cx, call);
                 self.finish(cx, call);
             }
+            Step::Refuse(watcher, refusal) => reply(cx, &watcher, Reply::Refused(refusal)),
             Step::Answer(watcher, program) => {
                 let word = match self.programs.get(&program) {
                     Some(program) => Reply::Program(Box::new(view(&program.copy, false))),
@@ -1750,7 +1766,7 @@
             reply(cx, &item.watcher, Reply::Moved);
         }
         for (_, step) in held.steps {
-            if let Step::Answer(watcher, _) = step {
+            if let Step::Answer(watcher, _) | Step::Refuse(watcher, _) = step {
                 reply(cx, &watcher, Reply::Moved);
             }
         }
@@ -1946,47 +1962,63 @@
     }
 
     /// While no keeper answers and none can be chosen, lets idempotent calls
-    /// go on without, and refuses the others.
+    /// without a program go on, and refuses to start others: what only one
+    /// process knows of a program would be lost with it. Calls that ran wait
+    /// for a keeper, since their end must not be told before it is safe.
     fn go_on_alone(&mut self, cx: &mut Context<'_>) {
-        let wait = cx.rules.alone_wait();
         let stuck: Vec<ShardId> = self
             .shards
             .iter()
-            .filter(|(_, held)| held.phase == Phase::Whole && held.unkept_for(cx.now) >= wait)
+            .filter(|(_, held)| held.is_stuck(cx))
             .map(|(shard, _)| *shard)
             .collect();
         for shard in stuck {
             let Some(held) = self.shards.get_mut(&shard) else {
                 continue;
             };
-            let steps: Vec<Step> = held.steps.drain(..).map(|(_, step)| step).collect();
-            for step in steps {
-                self.step_alone(cx, step);
+            let steps = std::mem::take(&mut held.steps);
+            for (seq, step) in steps {
+                self.step_alone(cx, shard, seq, step);
             }
         }
     }
 
-    fn step_alone(&mut self, cx: &mut Context<'_>, step: Step) {
-        let Step::Dispatch(id) = step else {
-            self.take_step(cx, step);
-            return;
+    fn step_alone(&mut self, cx: &mut Context<'_>, shard: ShardId, seq: u64, step: Step) {
+        let call = match &step {
+            Step::Dispatch(id) | Step::Finish(id) => self.calls.get_mut(id),
+            Step::Refuse(..) | Step::Answer(..) => None,
         };
-        let idempotent = self
-            .calls
-            .get(&id)
-            .is_some_and(|call| call.record.idempotent);
-        if idempotent {
-            self.dispatch(cx, id);
-        } else if self
-            .calls
-            .get(&id)
-            .is_some_and(|call| matches!(call.state, State::Reserving { .. }))
-        {
-            self.refuse(cx, id, Refusal::new(Code::NoKeeper));
+        let harmless = |call: &Call| call.program.is_single() && call.record.idempotent;
+        match (step, call) {
+            (step, Some(call)) if harmless(call) => self.take_step(cx, step),
+            (Step::Dispatch(id), Some(_)) => {
+                self.conclude(cx, id, Outcome::refused(Code::NoServer));
+            }
+            (Step::Finish(id), Some(call)) if call.is_refused() => {
+                // Without the keeper's word, nobody can say "not run".
+                let outcome = Outcome::refused(Code::NoKeeper);
+                call.state = State::Recording { outcome };
+                self.finish(cx, id);
+            }
+            (Step::Refuse(watcher, _), _) => {
+                reply(cx, &watcher, Reply::Refused(Refusal::new(Code::NoKeeper)));
+            }
+            (step @ (Step::Finish(_) | Step::Answer(..)), _) => {
+                if let Some(held) = self.shards.get_mut(&shard) {
+                    held.steps.push_back((seq, step));
+                }
+            }
+            (Step::Dispatch(_), None) => {}
         }
     }
 }
 
+impl Call {
+    fn is_refused(&self) -> bool {
+        matches!(&self.state, State::Recording { outcome } if outcome.is_not_run())
+    }
+}
+
 enum Entrance {
     Fresh(u64),
     Known(Box<CallRecord>),
@@ -2059,6 +2091,7 @@
 
 fn update(
     copy: &ProgramCopy,
+    above: Vec<(ProgramId, Budget)>,
     record: Option<CallRecord>,
     turns: Vec<Turn>,
     replace: bool,
@@ -2066,6 +2099,7 @@
     Change::Update {
         program: copy.program,
         head: Box::new(copy.head.clone()),
+        above,
         record: record.map(Box::new),
         turns,
         replace,
