lib: confirm with the keeper what rests on not knowing

Cause: the world found a former owner that answered 'program unknown' of a program that its successor had opened; every refusal that rests on absence, and every reading, has the same hole.

Ruled out: a lease an owner, which would rest on clocks; a read of the key-value service for each refusal, which it cannot carry.

Change: such answers wait for the keeper's acknowledgement of a probe, which only the current owner gets; one round trip.

--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -117,13 +117,22 @@
     offset: u64,
 }
 
+/// How much of a program a caller asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Part {
+    /// Its state without messages.
+    Head,
+    /// Its messages too.
+    Whole,
+}
+
 /// Something that goes on once the keeper has a change.
 #[derive(Clone, Debug)]
 enum Step {
     Dispatch(CallId),
     Finish(CallId),
     Refuse(Watcher, Refusal),
-    Answer(Watcher, ProgramId),
+    Answer(Watcher, ProgramId, Part),
 }
 
 /// A shard that this process owns.
@@ -344,7 +353,7 @@
         match request {
             Request::Call(call) => self.accept_call(cx, Some(shard), watcher, call, offset),
             Request::Open(open) => self.open(cx, shard, watcher, &open),
-            Request::Read(program) => self.read(cx, &watcher, program),
+            Request::Read(program) => self.read(cx, shard, watcher, program),
             Request::End(program) => self.end(cx, shard, watcher, program),
             Request::Judge(judgement) => self.judge(cx, shard, watcher, &judgement),
         }
@@ -354,16 +363,24 @@
         if self.programs.contains_key(&open.program) {
             // Sent again: the program is there, the answer was lost.
             let seq = self.shards.get(&shard).map_or(0, |held| held.seq);
-            self.after(cx, shard, seq, Step::Answer(watcher, open.program));
+            self.after(
+                cx,
+                shard,
+                seq,
+                Step::Answer(watcher, open.program, Part::Head),
+            );
             return;
         }
-        let stuck = self.shards.get(&shard).is_some_and(|held| held.is_stuck(cx));
+        let stuck = self
+            .shards
+            .get(&shard)
+            .is_some_and(|held| held.is_stuck(cx));
         if stuck {
             reply(cx, &watcher, Reply::Refused(Refusal::new(Code::NoKeeper)));
             return;
         }
         if let Err(refusal) = self.check_open(cx, open) {
-            reply(cx, &watcher, Reply::Refused(refusal));
+            self.refuse_caller(cx, Some(shard), watcher, refusal);
             return;
         }
         let head = ProgramHead {
@@ -380,7 +397,12 @@
         let change = Change::Program(Box::new(copy.clone()));
         self.insert_program(cx, copy);
         let seq = self.keep(cx, shard, change);
-        self.after(cx, shard, seq, Step::Answer(watcher, open.program));
+        self.after(
+            cx,
+            shard,
+            seq,
+            Step::Answer(watcher, open.program, Part::Head),
+        );
     }
 
     fn check_open(&self, cx: &Context<'_>, open: &OpenRequest) -> Result<(), Refusal> {
@@ -425,25 +447,18 @@
         self.programs.insert(id, program);
     }
 
-    fn read(&mut self, cx: &mut Context<'_>, watcher: &Watcher, id: ProgramId) {
-        let word = match self.programs.get(&id) {
-            Some(program) => Reply::Program(Box::new(view(&program.copy, true))),
-            None => Reply::Refused(Refusal::new(Code::ProgramUnknown)),
-        };
-        reply(cx, watcher, word);
+    fn read(&mut self, cx: &mut Context<'_>, shard: ShardId, watcher: Watcher, id: ProgramId) {
+        let seq = self.keep(cx, shard, Change::Probe);
+        self.after(cx, shard, seq, Step::Answer(watcher, id, Part::Whole));
     }
 
     fn end(&mut self, cx: &mut Context<'_>, shard: ShardId, watcher: Watcher, id: ProgramId) {
         if !self.programs.contains_key(&id) {
-            reply(
-                cx,
-                &watcher,
-                Reply::Refused(Refusal::new(Code::ProgramUnknown)),
-            );
+            self.refuse_caller(cx, Some(shard), watcher, Refusal::new(Code::ProgramUnknown));
             return;
         }
         let seq = self.end_tree(cx, shard, id);
-        self.after(cx, shard, seq, Step::Answer(watcher, id));
+        self.after(cx, shard, seq, Step::Answer(watcher, id, Part::Head));
     }
 
     /// Ends a program and its sub-agents; returns the number of the last
@@ -507,11 +522,7 @@
         judgement: &Judgement,
     ) {
         let Some(program) = self.programs.get_mut(&judgement.program) else {
-            reply(
-                cx,
-                &watcher,
-                Reply::Refused(Refusal::new(Code::ProgramUnknown)),
-            );
+            self.refuse_caller(cx, Some(shard), watcher, Refusal::new(Code::ProgramUnknown));
             return;
         };
         let unknown = CallStage::Done(Outcome::refused(Code::OutcomeUnknown));
@@ -537,7 +548,12 @@
         program.copy.put(record.clone());
         let change = update(&program.copy, Vec::new(), Some(record), Vec::new(), false);
         let seq = self.keep(cx, shard, change);
-        self.after(cx, shard, seq, Step::Answer(watcher, judgement.program));
+        self.after(
+            cx,
+            shard,
+            seq,
+            Step::Answer(watcher, judgement.program, Part::Head),
+        );
     }
 
     // Calls: acceptance and order.
@@ -570,8 +586,9 @@
         }
     }
 
-    /// Refuses a request that is no call under way. "Not run" is said once
-    /// the keeper confirms that no later owner has run it.
+    /// Refuses a request that is no call under way. What rests on something
+    /// not being known here is said once the keeper confirms that no later
+    /// owner knows more.
     fn refuse_caller(
         &mut self,
         cx: &mut Context<'_>,
@@ -580,7 +597,7 @@
         refusal: Refusal,
     ) {
         match shard {
-            Some(shard) if refusal.code.ran() == Ran::NotRun => {
+            Some(shard) if refusal.code.ran() != Ran::Ran => {
                 let seq = self.keep(cx, shard, Change::Probe);
                 self.after(cx, shard, seq, Step::Refuse(watcher, refusal));
             }
@@ -1465,9 +1482,9 @@
                 self.finish(cx, call);
             }
             Step::Refuse(watcher, refusal) => reply(cx, &watcher, Reply::Refused(refusal)),
-            Step::Answer(watcher, program) => {
+            Step::Answer(watcher, program, part) => {
                 let word = match self.programs.get(&program) {
-                    Some(program) => Reply::Program(Box::new(view(&program.copy, false))),
+                    Some(program) => Reply::Program(Box::new(view(&program.copy, part))),
                     None => Reply::Refused(Refusal::new(Code::ProgramUnknown)),
                 };
                 reply(cx, &watcher, word);
@@ -1766,7 +1783,7 @@
             reply(cx, &item.watcher, Reply::Moved);
         }
         for (_, step) in held.steps {
-            if let Step::Answer(watcher, _) | Step::Refuse(watcher, _) = step {
+            if let Step::Answer(watcher, _, _) | Step::Refuse(watcher, _) = step {
                 reply(cx, &watcher, Reply::Moved);
             }
         }
@@ -2106,7 +2123,7 @@
     }
 }
 
-fn view(copy: &ProgramCopy, whole: bool) -> ProgramView {
+fn view(copy: &ProgramCopy, part: Part) -> ProgramView {
     ProgramView {
         program: copy.program,
         parent: copy.head.parent,
@@ -2114,7 +2131,7 @@
         ended: copy.head.ended,
         budget: copy.head.budget,
         digest: copy.history.digest(),
-        turns: if whole {
+        turns: if part == Part::Whole {
             copy.history.turns().to_vec()
         } else {
             Vec::new()
--- a/lib/tests/promises.rs
+++ b/lib/tests/promises.rs
@@ -59,7 +59,12 @@
         Ok(())
     });
 
-    println!("seed={seed} runs={runs} steps={} answers={} refusals={:?}", steps.get(), answers.get(), refusals.borrow());
+    println!(
+        "seed={seed} runs={runs} steps={} answers={} refusals={:?}",
+        steps.get(),
+        answers.get(),
+        refusals.borrow()
+    );
     if let Err(error) = result {
         let text = error.to_string();
         let (report, input) = text.split_once("end of trace").unwrap_or((&text, ""));
@@ -71,7 +76,15 @@
 fn an_undisturbed_world_answers_every_call() {
     let world = run(&[]).expect("nothing fails");
 
-    assert!(world.callers.refusals.keys().all(|code| *code == "budget_spent"), "{:?}", world.callers.refusals);
+    assert!(
+        world
+            .callers
+            .refusals
+            .keys()
+            .all(|code| *code == "budget_spent"),
+        "{:?}",
+        world.callers.refusals
+    );
     assert!(world.callers.answers > 20);
 }
 
--- a/lib/tests/support/caller.rs
+++ b/lib/tests/support/caller.rs
@@ -133,7 +133,11 @@
         if !program.opened {
             return self.open(index, entry);
         }
-        let open = program.calls.iter().filter(|call| call.known == Known::Open).count();
+        let open = program
+            .calls
+            .iter()
+            .filter(|call| call.known == Known::Open)
+            .count();
         let ahead = usize::from(pick / 251 % 2);
         if open <= ahead && (program.calls.len() as u64) < LIMIT.calls + 2 {
             let number = program.calls.len() as u64 + 1;
@@ -163,10 +167,16 @@
     /// Opens a program. As at a real entry, each request is for a new id, and
     /// nobody knows the id before the answer.
     fn open(&mut self, index: usize, entry: (NodeId, u64)) -> Option<(CallerKey, Request)> {
-        if self.waiting.values().any(|waiting| waiting.program == index) {
+        if self
+            .waiting
+            .values()
+            .any(|waiting| waiting.program == index)
+        {
             return None;
         }
-        let parent = self.programs[index].above.map(|above| self.programs[above].id);
+        let parent = self.programs[index]
+            .above
+            .map(|above| self.programs[above].id);
         let program = &mut self.programs[index];
         program.parent = parent;
         program.id.root = parent.map_or(program.id.root, |parent| parent.root);
@@ -254,13 +264,13 @@
                         return Err(format!("program_never_lost: {:?}", program.id));
                     }
                     Code::ProgramUnknown => program.lost = true,
-                    Code::OutcomeUnknown | Code::BackendFailed | Code::TimedOut
-                    | Code::AnswerExpired => {
-                        // Backend failures of another run leave the call open
-                        // if it was answered already.
-                        if call.known == Known::Open && refusal.detail.is_empty() {
-                            call.known = Known::Ended;
-                        }
+                    Code::OutcomeUnknown
+                    | Code::BackendFailed
+                    | Code::TimedOut
+                    | Code::AnswerExpired
+                        if call.known == Known::Open && refusal.detail.is_empty() =>
+                    {
+                        call.known = Known::Ended;
                     }
                     Code::IdReused | Code::HistoryMismatch => {
                         return Err(format!("told {refusal:?} of {call:?}"));
--- a/lib/tests/support/invariant.rs
+++ b/lib/tests/support/invariant.rs
@@ -35,11 +35,19 @@
     let Some(program) = callers.programs.iter().find(|p| p.id == newest.program) else {
         return Ok(());
     };
-    let number = |call: CallId| program.calls.iter().find(|c| c.call == call).map(|c| c.number);
+    let number = |call: CallId| {
+        program
+            .calls
+            .iter()
+            .find(|c| c.call == call)
+            .map(|c| c.number)
+    };
     let own = earlier.iter().filter(|run| run.program == newest.program);
     let last = own.filter_map(|run| number(run.call)).max();
     if number(newest.call) < last {
-        return Err(format!("calls_in_order: {newest:?} ran after call {last:?}"));
+        return Err(format!(
+            "calls_in_order: {newest:?} ran after call {last:?}"
+        ));
     }
     Ok(())
 }
@@ -64,7 +72,9 @@
         match found {
             Some(offset) => at += offset + 1,
             None if call.known == Known::Answered => {
-                return Err(format!("history_whole: {run:?} lacks the answer of {call:?}"));
+                return Err(format!(
+                    "history_whole: {run:?} lacks the answer of {call:?}"
+                ));
             }
             None => {}
         }
@@ -107,7 +117,9 @@
     for (key, epoch) in seen {
         let old = world.epochs.insert(key.clone(), epoch);
         if old.is_some_and(|old| old > epoch) {
-            return Err(format!("epochs_grow: {key:?} fell from {old:?} to {epoch:?}"));
+            return Err(format!(
+                "epochs_grow: {key:?} fell from {old:?} to {epoch:?}"
+            ));
         }
     }
     Ok(())
--- a/lib/tests/support/net.rs
+++ b/lib/tests/support/net.rs
@@ -30,7 +30,11 @@
 }
 
 fn pair(a: &NodeId, b: &NodeId) -> Pair {
-    if a < b { (a.clone(), b.clone()) } else { (b.clone(), a.clone()) }
+    if a < b {
+        (a.clone(), b.clone())
+    } else {
+        (b.clone(), a.clone())
+    }
 }
 
 impl Net {
@@ -103,7 +107,10 @@
 
     /// Returns the directions in which something waits to be noticed.
     pub fn waiting(&self, may: impl Fn(&NodeId) -> bool) -> Vec<(NodeId, NodeId)> {
-        let full = self.inboxes.iter().filter(|((_, to), inbox)| !inbox.is_empty() && may(to));
+        let full = self
+            .inboxes
+            .iter()
+            .filter(|((_, to), inbox)| !inbox.is_empty() && may(to));
         full.map(|(direction, _)| direction.clone()).collect()
     }
 
--- a/lib/tests/support/world.rs
+++ b/lib/tests/support/world.rs
@@ -102,9 +102,14 @@
 fn traced(effect: &Effect) -> Option<String> {
     match effect {
         Effect::Send { message, .. } => match message {
-            Message::Beat(_) | Message::Document(_) | Message::Block { .. } | Message::Chunk { .. }
+            Message::Beat(_)
+            | Message::Document(_)
+            | Message::Block { .. }
+            | Message::Chunk { .. }
             | Message::OrderChunk { .. } => None,
-            other => Some(short(format!("{effect:?}").replace(&format!("{other:?}"), &short(format!("{other:?}"))))),
+            other => Some(short(
+                format!("{effect:?}").replace(&format!("{other:?}"), &short(format!("{other:?}"))),
+            )),
         },
         Effect::Chunk { .. } | Effect::Note(_) => None,
         other => Some(short(format!("{other:?}"))),
@@ -168,24 +173,31 @@
     }
 
     fn names(&self, role: Role) -> Vec<NodeId> {
-        let fits = self.processes.iter().filter(|process| process.node.role == role);
+        let fits = self
+            .processes
+            .iter()
+            .filter(|process| process.node.role == role);
         fits.map(|process| process.node.id.clone()).collect()
     }
 
     /// Returns the entries that live.
     pub fn entries(&self) -> impl Iterator<Item = (&NodeId, &Entry)> {
-        self.processes.iter().filter_map(|process| match &process.reducer {
-            Some(Reducer::Entry(entry)) => Some((&process.node.id, &**entry)),
-            _ => None,
-        })
+        self.processes
+            .iter()
+            .filter_map(|process| match &process.reducer {
+                Some(Reducer::Entry(entry)) => Some((&process.node.id, &**entry)),
+                _ => None,
+            })
     }
 
     /// Returns the side processes that live.
     pub fn sides(&self) -> impl Iterator<Item = (&NodeId, &Side)> {
-        self.processes.iter().filter_map(|process| match &process.reducer {
-            Some(Reducer::Side(side)) => Some((&process.node.id, &**side)),
-            _ => None,
-        })
+        self.processes
+            .iter()
+            .filter_map(|process| match &process.reducer {
+                Some(Reducer::Side(side)) => Some((&process.node.id, &**side)),
+                _ => None,
+            })
     }
 
     fn start(&mut self, index: usize) {
@@ -249,7 +261,10 @@
             return Ok(());
         };
         let lines: Vec<String> = self.trace.iter().cloned().collect();
-        Err(format!("{fault}\ntrace:\n{}\nend of trace", lines.join("\n")))
+        Err(format!(
+            "{fault}\ntrace:\n{}\nend of trace",
+            lines.join("\n")
+        ))
     }
 
     // Events and effects.
@@ -301,7 +316,9 @@
                     self.store.requests.push_back((id.clone(), request));
                 }
                 Effect::Reread { .. } => {
-                    self.store.requests.push_back((id.clone(), StoreRequest::Read));
+                    self.store
+                        .requests
+                        .push_back((id.clone(), StoreRequest::Read));
                 }
                 Effect::Start {
                     call,
@@ -336,7 +353,9 @@
     }
 
     fn index_of(&self, id: &NodeId) -> Option<usize> {
-        self.processes.iter().position(|process| process.node.id == *id)
+        self.processes
+            .iter()
+            .position(|process| process.node.id == *id)
     }
 
     fn is_awake(&self, id: &NodeId) -> bool {
@@ -353,7 +372,10 @@
     /// Returns the first promise that was broken.
     pub fn step(&mut self, action: Action) -> Result<(), Fault> {
         self.steps += 1;
-        if !matches!(action, Action::Deliver(_) | Action::Settle | Action::Tick(_)) {
+        if !matches!(
+            action,
+            Action::Deliver(_) | Action::Settle | Action::Tick(_)
+        ) {
             self.trace(format!("{action:?}"));
         }
         self.now = self.now + Duration::from_millis(1);
@@ -450,7 +472,9 @@
         let is_entry = self.processes[index].node.role == Role::Entry;
         match notice {
             Notice::Up(node) if is_entry => {
-                let other = self.index_of(&node).map_or(0, |other| self.processes[other].life);
+                let other = self
+                    .index_of(&node)
+                    .map_or(0, |other| self.processes[other].life);
                 let boot = Boot(other);
                 self.entry_event(index, entry::Event::LinkUp { node, boot });
             }
@@ -559,7 +583,8 @@
     }
 
     fn double(&mut self, pick: u16) {
-        let notice = |(_, event): &&(NodeId, entry::Event)| matches!(event, entry::Event::Block { .. });
+        let notice =
+            |(_, event): &&(NodeId, entry::Event)| matches!(event, entry::Event::Block { .. });
         let notices: Vec<_> = self.store.answers.iter().filter(notice).cloned().collect();
         if let Some(copy) = notices.get(usize::from(pick) % notices.len().max(1)) {
             self.store.answers.push(copy.clone());
@@ -623,7 +648,9 @@
         self.calm(300);
         for round in 0..60_u16 {
             for program in 0..PROGRAMS as u16 {
-                self.step(Action::Call(program + PROGRAMS as u16 * 251 * 2 * (round % 7)))?;
+                self.step(Action::Call(
+                    program + PROGRAMS as u16 * 251 * 2 * (round % 7),
+                ))?;
             }
             self.calm(15);
             self.report()?;
@@ -638,6 +665,10 @@
             .filter(|(_, side)| side.load().running + side.load().queued > 0)
             .map(|(id, _)| id)
             .collect();
-        if busy.is_empty() { Ok(()) } else { Err(format!("work_ends: {busy:?} are busy")) }
+        if busy.is_empty() {
+            Ok(())
+        } else {
+            Err(format!("work_ends: {busy:?} are busy"))
+        }
     }
 }
