owner: release the cache of a program that ended while its call ran

Cause: the test of an ended program over real sockets waited for ever: only a model call that ended with an answer noted which server holds cache.

Change: any model call notes its server, and an ended program's goes at once.

Before: 'the cache is released' never happened.

--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -1296,28 +1296,29 @@
         program.copy.remember(replace, turns.clone());
         if let Outcome::Answer(answer) = outcome {
             program.copy.head.attained += answer.tokens;
-            if answer.turn.is_some() {
-                let old = std::mem::replace(&mut program.copy.head.warm, server.cloned());
-                let ended = program.copy.head.ended;
-                let gone = if ended {
-                    program.copy.head.warm.take()
-                } else {
-                    None
-                };
-                let left = old.filter(|old| Some(old) != server);
-                for node in gone.into_iter().chain(left) {
-                    cx.send(
-                        &node,
-                        Message::Release {
-                            program: program_id,
-                        },
-                    );
-                }
-            }
         }
+        if let Some(server) = server.filter(|_| !record.turns.is_empty()) {
+            self.move_cache(cx, program_id, server);
+        }
+        let program = self.programs.get(&program_id)?;
         Some(update(&program.copy, above, Some(record), turns, replace))
     }
 
+    /// Notes that `server` may hold cache for a program now, whatever became
+    /// of the call, and releases what an earlier server or a gone program has.
+    fn move_cache(&mut self, cx: &mut Context<'_>, id: ProgramId, server: &NodeId) {
+        let Some(program) = self.programs.get_mut(&id) else {
+            return;
+        };
+        let head = &mut program.copy.head;
+        let old = head.warm.replace(server.clone());
+        let left = old.filter(|old| old != server);
+        let gone = if head.ended { head.warm.take() } else { None };
+        for node in left.into_iter().chain(gone) {
+            cx.send(&node, Message::Release { program: id });
+        }
+    }
+
     fn leave_admission(&mut self, cx: &mut Context<'_>, id: CallId) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use limpetferry_lib::id::DataCentre;
 use limpetferry_lib::id::NodeId;
@@ -21,6 +22,7 @@
 use crate::engine::StandInEngine;
 use crate::listen::any_port;
 use crate::listen::listen;
+use crate::process::Process;
 use crate::service::StandInService;
 use crate::store::StandInStore;
 use crate::vms::StandInVms;
@@ -34,25 +36,13 @@
 /// Data centres of the site.
 const CENTRES: [&str; 3] = ["osijek", "vinkovci", "pozega"];
 
-/// A process of the site that runs.
-pub struct Process {
-    stop: async_channel::Sender<()>,
-    task: Option<smol::Task<eyre::Result<()>>>,
-}
-
-impl Process {
-    /// Stops the process as a signal would, and waits for its end.
-    ///
-    /// # Errors
-    ///
-    /// Returns the error that the process ended with.
-    pub async fn stop(mut self) -> eyre::Result<()> {
-        let _ = self.stop.send(()).await;
-        match self.task.take() {
-            Some(task) => task.await,
-            None => Ok(()),
-        }
-    }
+/// How the site's own processes run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// As tasks of this process.
+    Tasks,
+    /// As processes of their own, which can be killed and frozen.
+    Processes,
 }
 
 /// The addresses of one entry.
@@ -80,12 +70,33 @@
     pub entries: Vec<EntryAddresses>,
     /// The processes, entries first, by name.
     pub processes: BTreeMap<String, Process>,
+    /// Settings of a side process by name, to start it again.
+    sides: BTreeMap<String, SideSettings>,
     store_at: SocketAddr,
     vms_at: SocketAddr,
-    rules: Rules,
+    /// Times and bounds of the processes that start from now on.
+    pub rules: Rules,
+    mode: Mode,
+    folder: PathBuf,
     stops: Vec<async_channel::Sender<()>>,
 }
 
+/// Returns a new folder for the settings of a site's processes.
+fn folder() -> PathBuf {
+    let name = format!(
+        "limpetferry-{}-{:x}",
+        std::process::id(),
+        rand::random::<u64>()
+    );
+    std::env::temp_dir().join(name)
+}
+
+impl Drop for Site {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 /// Returns an address whose port was free a moment ago.
 fn free() -> SocketAddr {
     let listener = std::net::TcpListener::bind(any_port()).expect("a port is free");
@@ -94,7 +105,7 @@
 
 impl Site {
     /// Starts the platform only.
-    pub async fn platform(rules: Rules) -> Self {
+    pub async fn platform(rules: Rules, mode: Mode) -> Self {
         let store = StandInStore::default();
         let vms = StandInVms::default();
         let (store_at, stop_store) = listen(any_port(), store.handler()).await;
@@ -106,9 +117,12 @@
             services: Vec::new(),
             entries: Vec::new(),
             processes: BTreeMap::new(),
+            sides: BTreeMap::new(),
             store_at,
             vms_at,
             rules,
+            mode,
+            folder: folder(),
             stops: vec![stop_store, stop_vms],
         }
     }
@@ -119,7 +133,16 @@
     ///
     /// Panics if the site does not come up.
     pub async fn start(entries: usize, engines: usize, services: usize) -> Self {
-        let mut site = Self::platform(Rules::default()).await;
+        Self::start_as(Mode::Tasks, entries, engines, services).await
+    }
+
+    /// Starts a whole site, with its processes as `mode` says.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the site does not come up.
+    pub async fn start_as(mode: Mode, entries: usize, engines: usize, services: usize) -> Self {
+        let mut site = Self::platform(Rules::default(), mode).await;
         for _ in 0..engines {
             site.add_engine().await;
         }
@@ -168,15 +191,11 @@
             limits: CallerLimits::default(),
         };
         self.entries.push(addresses);
-        let (stop, stopped) = async_channel::bounded(1);
-        let task = smol::spawn(limpetferry_net::entry_node::run(settings, stopped));
-        self.processes.insert(
-            name,
-            Process {
-                stop,
-                task: Some(task),
-            },
-        );
+        let process = match self.mode {
+            Mode::Tasks => Process::task(|stop| limpetferry_net::entry_node::run(settings, stop)),
+            Mode::Processes => Process::spawn("limpetferry-entry", &self.folder, &name, &settings),
+        };
+        self.processes.insert(name, process);
     }
 
     fn add_side(&mut self, name: String, index: usize, server: SocketAddr) {
@@ -185,15 +204,33 @@
             server,
         };
         self.vms.set(&settings.common.vm, "live");
-        let (stop, stopped) = async_channel::bounded(1);
-        let task = smol::spawn(limpetferry_net::side_node::run(settings, stopped));
-        self.processes.insert(
-            name,
-            Process {
-                stop,
-                task: Some(task),
-            },
-        );
+        self.sides.insert(name.clone(), settings);
+        self.start_side(&name);
+    }
+
+    /// Starts the side process `name`, anew if it ran before.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the site has no such side process.
+    pub fn start_side(&mut self, name: &str) {
+        let settings = self.sides[name].clone();
+        let process = match self.mode {
+            Mode::Tasks => Process::task(|stop| limpetferry_net::side_node::run(settings, stop)),
+            Mode::Processes => Process::spawn("limpetferry-side", &self.folder, name, &settings),
+        };
+        self.processes.insert(name.to_owned(), process);
+    }
+
+    /// Returns the process `name`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it was never started.
+    pub fn process(&mut self, name: &str) -> &mut Process {
+        self.processes
+            .get_mut(name)
+            .expect("the process was started")
     }
 
     /// Starts a model engine with its side process.
