--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -30,5 +30,7 @@
     }
     log::init(&settings.common.log)?;
     let stop = stop_signal()?;
-    smol::block_on(entry_node::run(settings, stop))
+    // Everything runs on the executor's one thread. Waiting for it without a
+    // reactor of its own keeps this thread from taking events away from it.
+    futures_lite::future::block_on(smol::spawn(entry_node::run(settings, stop)))
 }
--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -441,6 +441,7 @@
         }
         let versions = self.entry.documents().versions();
         if versions != self.versions {
+            self.handle.metrics.set_versions(&versions);
             self.versions = versions;
             let documents = Arc::new(self.entry.documents().clone());
             if let Ok(mut shared) = self.handle.documents.lock() {
--- a/net/src/metrics.rs
+++ b/net/src/metrics.rs
@@ -6,11 +6,14 @@
 use std::time::Duration;
 
 use http::Response;
+use limpetferry_lib::id::Operator;
+use limpetferry_lib::id::Version;
 use prometheus::Encoder as _;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -42,6 +45,8 @@
     pub links: IntGauge,
     /// Calls to the key-value service so far.
     pub store_calls: IntGauge,
+    /// Version of each operator's document in force.
+    pub version: IntGaugeVec,
     ready: Arc<AtomicBool>,
 }
 
@@ -68,7 +73,11 @@
             "Time from a request to the first byte of its answer",
         ))?;
         registry.register(Box::new(first_byte.clone()))?;
+        let opts = Opts::new("document_version", "Version of the document in force");
+        let version = IntGaugeVec::new(opts, &["operator"])?;
+        registry.register(Box::new(version.clone()))?;
         Ok(Self {
+            version,
             requests: counter("requests_total", "Callers' requests by outcome", "outcome")?,
             events: counter("events_total", "Events handled by the reducer", "kind")?,
             waiting: gauge("callers_waiting", "Callers that wait")?,
@@ -93,6 +102,14 @@
         self.first_byte.observe(time.as_secs_f64());
     }
 
+    /// Notes the versions in force.
+    pub fn set_versions(&self, versions: &[(Operator, Version)]) {
+        for (operator, version) in versions {
+            let gauge = self.version.with_label_values(&[operator.as_str()]);
+            gauge.set(version.0 as i64);
+        }
+    }
+
     /// Returns the text that prometheus reads.
     pub fn text(&self) -> String {
         let mut bytes = Vec::new();
--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -288,6 +288,10 @@
         let mut effects = Vec::new();
         self.side.step(self.clock.now(), event, &mut effects);
         for effect in effects {
+            if let Effect::Note(_) = &effect {
+                let versions = self.side.documents().versions();
+                self.metrics.set_versions(&versions);
+            }
             self.perform(effect);
         }
     }
--- /dev/null
+++ b/testutils/src/bin/limpetferry-load.rs
@@ -0,0 +1,340 @@
+//! Measures a site on loopback: what the system adds to a call, what it
+//! carries, what it holds, and how fast it recovers. Every run is bounded.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use clap::Parser;
+use clap::Subcommand;
+use hdrhistogram::Histogram;
+use limpetferry_testutils::client::Caller;
+use limpetferry_testutils::engine::EngineRules;
+use limpetferry_testutils::listen::any_port;
+use limpetferry_testutils::listen::listen;
+use limpetferry_testutils::probe::cpu_time;
+use limpetferry_testutils::probe::loopback_bytes;
+use limpetferry_testutils::probe::memory;
+use limpetferry_testutils::site::Mode;
+use limpetferry_testutils::site::Site;
+use serde_json::Value;
+use serde_json::json;
+
+/// Measures a site of stand-ins and real processes on loopback.
+#[derive(Parser)]
+struct Args {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Compares calls through entry and side process with calls of the
+    /// engine stand-in itself.
+    Added {
+        /// Callers at once.
+        #[arg(long, default_value_t = 4)]
+        callers: usize,
+        /// Calls of each caller.
+        #[arg(long, default_value_t = 2_000)]
+        calls: usize,
+        /// Tokens of each answer.
+        #[arg(long, default_value_t = 1)]
+        tokens: u64,
+    },
+    /// Compares calls that the keeper must know of with calls that need none.
+    Keeper {
+        /// Calls of each kind.
+        #[arg(long, default_value_t = 2_000)]
+        calls: usize,
+    },
+    /// Opens programs and reports the memory of owner and keeper.
+    Programs {
+        /// Programs.
+        #[arg(long, default_value_t = 5_000)]
+        count: usize,
+        /// Bytes of each program's history.
+        #[arg(long, default_value_t = 0)]
+        history: usize,
+    },
+    /// Reports what an idle site uses.
+    Idle {
+        /// Side processes.
+        #[arg(long, default_value_t = 8)]
+        sides: usize,
+        /// Entries.
+        #[arg(long, default_value_t = 2)]
+        entries: usize,
+    },
+    /// Applies patches and reports when they are in force in all processes.
+    Patch {
+        /// Patches.
+        #[arg(long, default_value_t = 50)]
+        count: u64,
+        /// Entries.
+        #[arg(long, default_value_t = 4)]
+        entries: usize,
+        /// Side processes.
+        #[arg(long, default_value_t = 20)]
+        sides: usize,
+    },
+    /// Kills an entry and reports when its programs answer again.
+    Takeover {
+        /// Programs.
+        #[arg(long, default_value_t = 200)]
+        programs: usize,
+        /// What to kill: `entry-1`, or a side process.
+        #[arg(long, default_value = "entry-1")]
+        victim: String,
+    },
+}
+
+const CHAT: &str = "/v1/chat/completions";
+const LOOKUP: &str = "/v1/tools/transfers/lookup";
+const TRANSFER: &str = "/v1/tools/transfers/move";
+/// Highest latency that a histogram tells apart, in microseconds.
+const MOST_US: u64 = 60_000_000;
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_max(MOST_US, 3).expect("the bounds are valid")
+}
+
+fn row(name: &str, times: &Histogram<u64>) -> String {
+    format!(
+        "{name}_count={} {name}_p50_us={} {name}_p99_us={} {name}_max_us={}",
+        times.len(),
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.99),
+        times.max()
+    )
+}
+
+/// Runs `calls` calls in turn and records how long each took.
+async fn run(
+    caller: &Caller,
+    calls: usize,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> Histogram<u64> {
+    let mut times = histogram();
+    for _ in 0..calls {
+        let start = Instant::now();
+        let got = caller.send("POST", path, headers, body).await;
+        let took = start.elapsed().as_micros() as u64;
+        match got {
+            Ok(got) if got.status == 200 => times.saturating_record(took),
+            other => eprintln!("failed={other:?}"),
+        }
+    }
+    times
+}
+
+/// Runs many callers at once, and returns their times and the whole time.
+async fn run_all(
+    callers: Vec<Caller>,
+    calls: usize,
+    path: &str,
+    body: &Value,
+) -> (Histogram<u64>, Duration) {
+    let start = Instant::now();
+    let runs = callers
+        .iter()
+        .map(|caller| run(caller, calls, path, &[], body));
+    let mut all = histogram();
+    for times in futures_util::future::join_all(runs).await {
+        all.add(times).expect("the bounds are equal");
+    }
+    (all, start.elapsed())
+}
+
+async fn added(callers: usize, calls: usize, tokens: u64) {
+    let mut site = Site::start_as(Mode::Processes, 1, 1, 0).await;
+    let rules = EngineRules {
+        tokens,
+        ..EngineRules::default()
+    };
+    site.engines[0].set_rules(rules);
+    let (direct, _stop) = listen(any_port(), site.engines[0].handler()).await;
+    let body = json!({"model": "cask-7b", "messages": [{"role": "user", "content": "hello"}]});
+    let ids = [site.process("entry-1").id(), site.process("engine-1").id()];
+    for round in 1..=3 {
+        let straight = (0..callers).map(|_| Caller::new(direct, "none")).collect();
+        let (straight, straight_time) = run_all(straight, calls, CHAT, &body).await;
+        let before = ids.map(cpu_time);
+        let through = (0..callers).map(|_| site.caller(0)).collect();
+        let (through, through_time) = run_all(through, calls, CHAT, &body).await;
+        let used = [cpu_time(ids[0]) - before[0], cpu_time(ids[1]) - before[1]];
+        let total = (callers * calls) as f64;
+        println!(
+            "round={round} callers={callers} tokens={tokens} {} {} direct_calls_s={:.0} through_calls_s={:.0} entry_cpu_us={:.0} side_cpu_us={:.0}",
+            row("direct", &straight),
+            row("through", &through),
+            total / straight_time.as_secs_f64(),
+            total / through_time.as_secs_f64(),
+            used[0].as_secs_f64() * 1e6 / total,
+            used[1].as_secs_f64() * 1e6 / total,
+        );
+    }
+}
+
+async fn open_programs(site: &Site, count: usize) -> Vec<String> {
+    let mut programs = Vec::new();
+    for _ in 0..count {
+        let got = site
+            .caller(0)
+            .send("POST", "/v1/programs", &[], &Value::Null)
+            .await;
+        if let Ok(got) = got {
+            programs.push(got.json()["id"].as_str().unwrap_or_default().to_owned());
+        }
+    }
+    programs
+}
+
+async fn keeper(calls: usize) {
+    let site = Site::start_as(Mode::Processes, 1, 1, 2).await;
+    let caller = site.caller(0);
+    let body = json!({"cask": 12});
+    for round in 1..=3 {
+        let before = site.store.calls().values().sum::<u64>();
+        let free = run(&caller, calls, LOOKUP, &[], &body).await;
+        let mut kept = histogram();
+        for _ in 0..calls / 50 {
+            let program = open_programs(&site, 1).await.remove(0);
+            let headers = [("limpetferry-program", program.as_str())];
+            kept.add(run(&caller, 50, TRANSFER, &headers, &body).await)
+                .expect("the bounds are equal");
+        }
+        let store = site.store.calls().values().sum::<u64>() - before;
+        println!(
+            "round={round} {} {} store_calls={store}",
+            row("lookup", &free),
+            row("transfer", &kept)
+        );
+    }
+}
+
+async fn programs(count: usize, history: usize) {
+    let mut site = Site::start_as(Mode::Processes, 1, 1, 1).await;
+    let names = ["entry-1", "engine-1", "tool-1"];
+    let memories = |site: &mut Site| names.map(|name| memory(site.process(name).id()));
+    let before = memories(&mut site);
+    let ids = open_programs(&site, count).await;
+    if history > 0 {
+        let text = "x".repeat(history);
+        let body = json!({"model": "cask-7b", "max_tokens": 1, "messages": [{"role": "user", "content": text}]});
+        for id in &ids {
+            let headers = [("limpetferry-program", id.as_str())];
+            run(&site.caller(0), 1, CHAT, &headers, &body).await;
+        }
+    }
+    let after = memories(&mut site);
+    let grown: Vec<u64> = (0..3).map(|i| after[i].saturating_sub(before[i])).collect();
+    println!(
+        "programs={count} history={history} entry_start={} entry_bytes_each={} keepers_bytes_each={}",
+        before[0],
+        grown[0] / count as u64,
+        (grown[1] + grown[2]) / count as u64
+    );
+}
+
+async fn idle(entries: usize, sides: usize) {
+    let mut site = Site::start_as(Mode::Processes, entries, sides, 0).await;
+    smol::Timer::after(Duration::from_secs(3)).await;
+    let ids = [site.process("entry-1").id(), site.process("engine-1").id()];
+    let (cpu, bytes, store) = (ids.map(cpu_time), loopback_bytes(), site.store.calls());
+    let span = Duration::from_secs(20);
+    smol::Timer::after(span).await;
+    let secs = span.as_secs_f64();
+    let used = [cpu_time(ids[0]) - cpu[0], cpu_time(ids[1]) - cpu[1]];
+    let calls: u64 = site.store.calls().values().sum::<u64>() - store.values().sum::<u64>();
+    println!(
+        "entries={entries} sides={sides} entry_cpu_pct={:.2} side_cpu_pct={:.2} lo_bytes_s={:.0} store_calls={calls} entry_memory={} side_memory={}",
+        used[0].as_secs_f64() * 100.0 / secs,
+        used[1].as_secs_f64() * 100.0 / secs,
+        (loopback_bytes() - bytes) as f64 / secs,
+        memory(ids[0]),
+        memory(ids[1]),
+    );
+}
+
+async fn patch(count: u64, entries: usize, sides: usize) {
+    let site = Site::start_as(Mode::Processes, entries, sides, 0).await;
+    let operator = site.operator(0);
+    let mut times = histogram();
+    for base in 1..=count {
+        let change = json!({"deployments": {"register": {"program": {"tokens": 150_000 + base}}}});
+        let patch = json!({"id": format!("p{base}"), "base": base, "change": {"merge": change}});
+        let start = Instant::now();
+        let sent = operator
+            .send("POST", "/v1/config/patches", &[], &patch)
+            .await;
+        if !sent.is_ok_and(|got| got.status == 200) {
+            eprintln!("failed=patch base={base}");
+            continue;
+        }
+        site.in_force_everywhere(base + 1).await;
+        times.saturating_record(start.elapsed().as_micros() as u64);
+    }
+    println!("entries={entries} sides={sides} {}", row("patch", &times));
+}
+
+async fn takeover(count: usize, victim: &str) {
+    let mut site = Site::start_as(Mode::Processes, 3, 1, 4).await;
+    let programs = open_programs(&site, count).await;
+    let last = site.entries.len() - 1;
+    site.process(victim).kill();
+    let start = Instant::now();
+    let site = &site;
+    let again = programs.iter().map(|program| async move {
+        let caller = site.caller(last);
+        let headers = [
+            ("limpetferry-program", program.as_str()),
+            ("idempotency-key", "t1"),
+        ];
+        loop {
+            let got = caller.send("POST", TRANSFER, &headers, &json!({})).await;
+            if got.is_ok_and(|got| got.status == 200) {
+                return start.elapsed().as_micros() as u64;
+            }
+            smol::Timer::after(Duration::from_millis(50)).await;
+        }
+    });
+    let mut times = histogram();
+    for took in futures_util::future::join_all(again).await {
+        times.saturating_record(took);
+    }
+    let runs: Vec<u64> = site
+        .services
+        .iter()
+        .flat_map(|service| service.runs().into_values())
+        .collect();
+    let doubled = runs.iter().filter(|count| **count > 1).count();
+    println!(
+        "victim={victim} {} lost={} doubled={doubled}",
+        row("again", &times),
+        count - runs.len()
+    );
+}
+
+fn main() {
+    let args = Args::parse();
+    smol::block_on(async {
+        match args.command {
+            Command::Added {
+                callers,
+                calls,
+                tokens,
+            } => added(callers, calls, tokens).await,
+            Command::Keeper { calls } => keeper(calls).await,
+            Command::Programs { count, history } => programs(count, history).await,
+            Command::Idle { sides, entries } => idle(entries, sides).await,
+            Command::Patch {
+                count,
+                entries,
+                sides,
+            } => patch(count, entries, sides).await,
+            Command::Takeover { programs, victim } => takeover(programs, &victim).await,
+        }
+    });
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod client;
 pub mod engine;
 pub mod listen;
+pub mod probe;
 pub mod process;
 pub mod service;
 pub mod site;
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -68,7 +68,9 @@
     pub services: Vec<StandInService>,
     /// The addresses of the entries.
     pub entries: Vec<EntryAddresses>,
-    /// The processes, entries first, by name.
+    /// The addresses of all processes' metrics.
+    pub metrics: Vec<SocketAddr>,
+    /// The processes by name.
     pub processes: BTreeMap<String, Process>,
     /// Settings of a side process by name, to start it again.
     sides: BTreeMap<String, SideSettings>,
@@ -116,6 +118,7 @@
             engines: Vec::new(),
             services: Vec::new(),
             entries: Vec::new(),
+            metrics: Vec::new(),
             processes: BTreeMap::new(),
             sides: BTreeMap::new(),
             store_at,
@@ -191,6 +194,7 @@
             limits: CallerLimits::default(),
         };
         self.entries.push(addresses);
+        self.metrics.push(addresses.metrics);
         let process = match self.mode {
             Mode::Tasks => Process::task(|stop| limpetferry_net::entry_node::run(settings, stop)),
             Mode::Processes => Process::spawn("limpetferry-entry", &self.folder, &name, &settings),
@@ -204,6 +208,7 @@
             server,
         };
         self.vms.set(&settings.common.vm, "live");
+        self.metrics.push(settings.common.metrics);
         self.sides.insert(name.clone(), settings);
         self.start_side(&name);
     }
@@ -294,6 +299,22 @@
         Caller::new(self.entries[index].operators, OPERATOR_KEY)
     }
 
+    /// Waits until every process has the document's `version` in force, as
+    /// its metrics tell.
+    pub async fn in_force_everywhere(&self, version: u64) {
+        let line = format!("limpetferry_document_version{{operator=\"registrars\"}} {version}\n");
+        for address in &self.metrics {
+            let caller = Caller::new(*address, "none");
+            loop {
+                let got = caller.send("GET", "/metrics", &[], &Value::Null).await;
+                if got.is_ok_and(|got| String::from_utf8_lossy(&got.body).contains(&line)) {
+                    break;
+                }
+                smol::Timer::after(std::time::Duration::from_millis(2)).await;
+            }
+        }
+    }
+
     /// Applies the first document and waits until calls are served.
     ///
     /// # Panics
