--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -2118,7 +2118,7 @@
         program: copy.program,
         head: Box::new(copy.head.clone()),
         above,
-        record: record.map(Box::new),
+        record: record.map(|record| Box::new(record.slim())),
         turns,
         replace,
     }
--- a/lib/src/program.rs
+++ b/lib/src/program.rs
@@ -154,6 +154,20 @@
     pub stage: CallStage,
 }
 
+impl CallRecord {
+    /// Drops from a call that has ended what its program's history holds too.
+    #[must_use]
+    pub fn slim(mut self) -> Self {
+        if let CallStage::Done(outcome) = &mut self.stage {
+            self.turns.clear();
+            if let Outcome::Answer(answer) = outcome {
+                answer.turn = None;
+            }
+        }
+        self
+    }
+}
+
 /// What remains of a call whose answer is no longer kept.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PastCall {
@@ -209,9 +223,10 @@
             .find(|record| !matches!(record.stage, CallStage::Done(_)))
     }
 
-    /// Puts `record` in the place of the one with the same id, or at the end.
+    /// Puts `record`, without what the history holds too, in the place of the one with the same id, or at the end.
     /// A call that surely did not run leaves no trace.
     pub fn put(&mut self, record: CallRecord) {
+        let record = record.slim();
         self.recent.retain(|old| old.call != record.call);
         if matches!(&record.stage, CallStage::Done(outcome) if outcome.is_not_run()) {
             return;
--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -47,7 +47,7 @@
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(25);
 /// Inputs that wait for the reducer.
-const MAX_INPUTS: usize = 65_536;
+const MAX_INPUTS: usize = 4_096;
 /// Wait before the key-value service is asked again after a failure.
 const STORE_PAUSE: Duration = Duration::from_millis(500);
 /// Inputs handled before effects are carried out.
--- a/net/src/links.rs
+++ b/net/src/links.rs
@@ -144,7 +144,7 @@
 
     async fn carry(&self, link: Link) {
         let id = self.serial.fetch_add(1, Ordering::Relaxed);
-        let (sender, outgoing) = async_channel::bounded(peer::MAX_WAITING);
+        let (sender, outgoing) = async_channel::unbounded();
         let node = link.peer.node.clone();
         let up = LinkEvent::Up {
             node: node.clone(),
@@ -202,7 +202,7 @@
     /// closed: it is made anew, and what became of the work is asked.
     pub fn send(&mut self, to: &NodeId, message: Message) {
         if let Some((_, sender)) = self.links.get(to) {
-            if sender.try_send(message).is_err() {
+            if sender.len() >= peer::MAX_WAITING || sender.try_send(message).is_err() {
                 sender.close();
             }
         }
--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -41,7 +41,7 @@
 /// Time between two ticks of the reducer.
 const TICK: Duration = Duration::from_millis(50);
 /// Inputs that wait for the reducer.
-const MAX_INPUTS: usize = 65_536;
+const MAX_INPUTS: usize = 4_096;
 /// Wait before the key-value service is asked again.
 const STORE_PAUSE: Duration = Duration::from_millis(500);
 /// Bounds of the metrics listener.
