lib, net: make a decision's cost nearly independent of the fleet's size

Cause: a call looked at every server of its model, and counted the entries among all members three times; idle links pinged as often as busy ones.

Change: of more than 16 servers the warm one and a sample of 16 are weighed; entries are counted when the registry changes; idle links are pinged once a second, busy ones five times.

--- a/lib/src/document.rs
+++ b/lib/src/document.rs
@@ -209,12 +209,13 @@
     /// Returns every fault that was found; a document that cannot be read at
     /// all gives one.
     pub fn parse(value: &serde_json::Value) -> Result<Self, Vec<Fault>> {
-        let document: Self = Self::deserialize(value).map_err(|error| {
+        let mut document: Self = Self::deserialize(value).map_err(|error| {
             vec![Fault::new(
                 "document",
                 format!("{error}; see docs/operators.md for the fields"),
             )]
         })?;
+        document.sort_servers();
         let faults = document.faults();
         if faults.is_empty() {
             Ok(document)
@@ -223,6 +224,21 @@
         }
     }
 
+    /// Sorts all lists of servers, so that one is found in them quickly.
+    fn sort_servers(&mut self) {
+        for rules in self.deployments.values_mut() {
+            let models = rules.models.values_mut().map(|model| &mut model.servers);
+            let services = rules
+                .services
+                .values_mut()
+                .map(|service| &mut service.servers);
+            for servers in models.chain(services) {
+                servers.sort_unstable();
+                servers.dedup();
+            }
+        }
+    }
+
     /// Returns every fault of the document.
     pub fn faults(&self) -> Vec<Fault> {
         let mut faults = Vec::new();
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -291,11 +291,8 @@
     }
 
     fn registry(&mut self, now: Time, nodes: &[Node]) {
-        for node in nodes {
-            if node.id != self.node {
-                self.members.register(now, node);
-            }
-        }
+        let others = nodes.iter().filter(|node| node.id != self.node);
+        self.members.register(now, others);
         let gone: Vec<NodeId> = self
             .members
             .iter()
--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -138,12 +138,20 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     known: BTreeMap<NodeId, Member>,
+    /// Entries among them; counted, since each call asks.
+    entries: u64,
 }
 
 impl Members {
-    /// Takes over a registration. One that names another address counts as
-    /// a new process.
-    pub fn register(&mut self, now: Time, node: &Node) {
+    /// Takes over registrations.
+    pub fn register<'a>(&mut self, now: Time, nodes: impl IntoIterator<Item = &'a Node>) {
+        for node in nodes {
+            self.register_one(now, node);
+        }
+        self.count_entries();
+    }
+
+    fn register_one(&mut self, now: Time, node: &Node) {
         let fresh = || Member {
             node: node.clone(),
             link: Link::Down { since: now },
@@ -160,9 +168,20 @@
         }
     }
 
+    fn count_entries(&mut self) {
+        let entries = self.known.values().filter(|m| m.node.role == Role::Entry);
+        self.entries = entries.count() as u64;
+    }
+
+    /// Returns the number of other entries.
+    pub fn entries(&self) -> u64 {
+        self.entries
+    }
+
     /// Removes a process that took back its registration.
     pub fn remove(&mut self, id: &NodeId) {
         self.known.remove(id);
+        self.count_entries();
     }
 
     /// Notes that a link to `id`, in the life `boot`, was made.
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -47,6 +47,7 @@
 use crate::outcome::Refusal;
 use crate::placement::Affinity;
 use crate::placement::CallView;
+use crate::placement::LOOK_AT_ALL;
 use crate::placement::Placement;
 use crate::placement::ServerView;
 use crate::program::CallRecord;
@@ -867,7 +868,7 @@
             return;
         };
         let urgency = call.request.as_ref().map_or(Urgency::Normal, |r| r.urgency);
-        let limits = share(&rules.limits, entries(cx.members));
+        let limits = share(&rules.limits, cx.members.entries() + 1);
         let key = (call.operator.clone(), call.deployment.clone());
         if self.admission.enter(&key, &limits) {
             call.admitted = true;
@@ -934,7 +935,7 @@
         let warm = program.and_then(|program| program.copy.head.warm.as_ref());
         let mut nodes = Vec::new();
         let mut views = Vec::new();
-        for name in names {
+        for name in candidates(names, warm, &mut self.rng) {
             if !cx.members.in_service(cx.now, name) || call.tried.contains(name) {
                 continue;
             }
@@ -942,11 +943,8 @@
                 continue;
             };
             let sent = self.sent.get(name).copied().unwrap_or_default();
-            let load = cx
-                .members
-                .get(name)
-                .map(|member| member.load())
-                .unwrap_or_default();
+            let member = cx.members.get(name);
+            let load = member.map(|member| member.load()).unwrap_or_default();
             nodes.push((name.clone(), boot));
             views.push(ServerView {
                 slots: cx.documents.server(name).map_or(1, |rules| rules.slots),
@@ -1336,7 +1334,7 @@
         let Some(rules) = cx.documents.rules(&key.0, &key.1) else {
             return;
         };
-        let limits = share(&rules.limits, entries(cx.members));
+        let limits = share(&rules.limits, cx.members.entries() + 1);
         if let Some(next) = self.admission.next(key, &limits) {
             if let Some(call) = self.calls.get_mut(&next) {
                 call.admitted = true;
@@ -2037,6 +2035,27 @@
     }
 }
 
+/// Returns the servers to weigh for a call: all of a few; of many, the one
+/// that may hold the program's cache and a sample, so that the cost of a
+/// decision does not grow with the fleet. `names` is sorted.
+fn candidates<'a>(
+    names: &'a [NodeId],
+    warm: Option<&'a NodeId>,
+    rng: &mut SmallRng,
+) -> Vec<&'a NodeId> {
+    if names.len() <= LOOK_AT_ALL {
+        return names.iter().collect();
+    }
+    let warm = warm.filter(|name| names.binary_search(name).is_ok());
+    let mut drawn: Vec<&NodeId> = (0..LOOK_AT_ALL)
+        .map(|_| &names[rng.random_range(0..names.len())])
+        .chain(warm)
+        .collect();
+    drawn.sort_unstable();
+    drawn.dedup();
+    drawn
+}
+
 enum Entrance {
     Fresh(u64),
     Known(Box<CallRecord>),
@@ -2171,8 +2190,3 @@
         waiting: (limits.waiting / entries).max(1),
     }
 }
-
-fn entries(members: &Members) -> u64 {
-    let entry = |member: &&crate::member::Member| member.node.role == crate::member::Role::Entry;
-    members.iter().filter(entry).count() as u64 + 1
-}
--- a/lib/src/side.rs
+++ b/lib/src/side.rs
@@ -38,7 +38,9 @@
 use crate::time::Time;
 
 /// Time between two messages about oneself to each peer.
-const BEAT: Duration = Duration::from_millis(500);
+const BEAT: Duration = Duration::from_secs(1);
+/// Time between two looks for what is over its time.
+const SWEEP: Duration = Duration::from_millis(500);
 /// How long the outcome of a non-idempotent call is held for an owner that
 /// has not confirmed it.
 const HOLD: Duration = Duration::from_secs(24 * 3600);
@@ -703,7 +705,7 @@
                 self.send_beat(&peer, out);
             }
         }
-        if now.since(self.swept) >= BEAT {
+        if now.since(self.swept) >= SWEEP {
             self.swept = now;
             self.sweep(now, out);
         }
--- a/net/src/peer.rs
+++ b/net/src/peer.rs
@@ -1,6 +1,8 @@
 //! Links between the system's own processes: one h2 stream each, with
 //! bincode frames, and pings that find a silent one.
 
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -38,8 +40,10 @@
 const BATCH: usize = 256 << 10;
 /// Wait for a link to be made.
 const DIAL_WAIT: Duration = Duration::from_secs(1);
-/// Time between pings.
-const PING_EVERY: Duration = Duration::from_millis(200);
+/// Time between pings while messages of work go by the link.
+const PING_BUSY: Duration = Duration::from_millis(200);
+/// Time between pings of an idle link.
+const PING_IDLE: Duration = Duration::from_secs(1);
 /// Least wait for the answer to a ping: a scheduler's hiccup is no silence.
 const PING_LEAST: Duration = Duration::from_millis(300);
 /// Longest wait for the answer to a ping, whatever was measured.
@@ -194,8 +198,9 @@
             driver,
             ..
         } = self;
+        let work = AtomicU64::new(0);
         let writing = async {
-            write_all(&mut send, &outgoing)
+            write_all(&mut send, &outgoing, &work)
                 .await
                 .err()
                 .unwrap_or(LinkError::Closed)
@@ -215,7 +220,7 @@
                 }
             }
         };
-        let pinging = watch_silence(&mut ping);
+        let pinging = watch_silence(&mut ping, &work);
         let error = future::or(future::or(reading, writing), pinging).await;
         driver.cancel().await;
         error
@@ -223,8 +228,9 @@
 }
 
 /// Pings the other end until it falls silent; the wait follows the round
-/// trips that were measured.
-async fn watch_silence(ping: &mut PingPong) -> LinkError {
+/// trips that were measured. `work` counts the messages of work sent: a link
+/// without any is pinged seldom.
+async fn watch_silence(ping: &mut PingPong, work: &AtomicU64) -> LinkError {
     let mut usual = PING_LEAST / PING_FACTOR;
     loop {
         let wait = (usual * PING_FACTOR).clamp(PING_LEAST, PING_MOST);
@@ -234,15 +240,25 @@
             Some(Err(error)) => return LinkError::Broken(error),
             None => return LinkError::Silent(wait),
         }
-        smol::Timer::after(PING_EVERY).await;
+        let before = work.load(Ordering::Relaxed);
+        smol::Timer::after(PING_BUSY).await;
+        let mut idle = PING_BUSY;
+        while idle < PING_IDLE && work.load(Ordering::Relaxed) == before {
+            smol::Timer::after(PING_BUSY).await;
+            idle += PING_BUSY;
+        }
     }
 }
 
 async fn write_all(
     send: &mut SendStream<Bytes>,
     outgoing: &async_channel::Receiver<Message>,
+    work: &AtomicU64,
 ) -> Result<(), LinkError> {
     while let Ok(message) = outgoing.recv().await {
+        if !matches!(message, Message::Beat(_)) {
+            work.fetch_add(1, Ordering::Relaxed);
+        }
         let mut batch = BytesMut::new();
         append(&mut batch, &message)?;
         while batch.len() < BATCH {
--- a/testutils/src/bin/limpetferry-load.rs
+++ b/testutils/src/bin/limpetferry-load.rs
@@ -77,6 +77,15 @@
         #[arg(long, default_value_t = 20)]
         sides: usize,
     },
+    /// Times the decisions of one entry for a call, without sockets.
+    Decide {
+        /// Backend servers.
+        #[arg(long, default_value_t = 12)]
+        workers: usize,
+        /// Programs that the entry owns meanwhile.
+        #[arg(long, default_value_t = 1_000)]
+        programs: u64,
+    },
     /// Kills an entry and reports when its programs answer again.
     Takeover {
         /// Programs.
@@ -317,6 +326,236 @@
     );
 }
 
+/// The reducer of an entry alone, with a keeper that answers at once.
+mod decide {
+    use std::time::Duration;
+    use std::time::Instant;
+
+    use limpetferry_lib::budget::Amount;
+    use limpetferry_lib::effect::CallerKey;
+    use limpetferry_lib::effect::Effect;
+    use limpetferry_lib::entry::Entry;
+    use limpetferry_lib::entry::Event;
+    use limpetferry_lib::id::*;
+    use limpetferry_lib::member::Node;
+    use limpetferry_lib::member::Role;
+    use limpetferry_lib::message::Message;
+    use limpetferry_lib::message::OpenRequest;
+    use limpetferry_lib::message::Request;
+    use limpetferry_lib::outcome::Answer;
+    use limpetferry_lib::outcome::Outcome;
+    use limpetferry_lib::program::CallRequest;
+    use limpetferry_lib::program::Supply;
+    use limpetferry_lib::program::Target;
+    use limpetferry_lib::program::Urgency;
+    use limpetferry_lib::rules::Rules;
+    use limpetferry_lib::shard::Assignment;
+    use limpetferry_lib::shard::Block;
+    use limpetferry_lib::time::Time;
+    use serde_json::json;
+
+    const CALLS: u64 = 20_000;
+
+    struct Bench {
+        entry: Entry,
+        now: Time,
+        took: Duration,
+    }
+
+    impl Bench {
+        /// Steps the reducer, answering for keeper and servers, until nothing
+        /// is left to do; only the reducer's own time counts.
+        fn step(&mut self, event: Event) {
+            let mut events = vec![event];
+            while let Some(event) = events.pop() {
+                self.now = self.now + Duration::from_micros(1);
+                let mut out = Vec::new();
+                let start = Instant::now();
+                self.entry.step(self.now, event, &mut out);
+                self.took += start.elapsed();
+                events.extend(out.into_iter().filter_map(answer));
+            }
+        }
+    }
+
+    fn answer(effect: Effect) -> Option<Event> {
+        let Effect::Send { to, message } = effect else {
+            return None;
+        };
+        let message = match message {
+            Message::Keep {
+                shard, epoch, seq, ..
+            } => Message::Kept { shard, epoch, seq },
+            Message::Order(order) => Message::OrderDone {
+                call: order.call,
+                attempt: order.attempt,
+                outcome: Outcome::Answer(Answer {
+                    status: 200,
+                    kind: "text/plain".into(),
+                    body: b"ok".to_vec(),
+                    turn: None,
+                    tokens: 0,
+                }),
+            },
+            _ => return None,
+        };
+        Some(Event::Message { from: to, message })
+    }
+
+    fn entry(workers: usize) -> Entry {
+        let name = |index: usize| NodeId::new(format!("w{index:05}"));
+        let rules = Rules {
+            shards: 64,
+            programs: 10_000_000,
+            ..Rules::default()
+        };
+        let me = NodeId::new("e");
+        let mut entry = Entry::new(me.clone(), DataCentre::new("a"), Boot(1), rules, 1);
+        let mut out = Vec::new();
+        let nodes: Vec<Node> = (0..workers)
+            .map(|index| Node {
+                id: name(index),
+                role: Role::Side,
+                centre: DataCentre::new("b"),
+                address: "-".into(),
+                vm: "-".into(),
+            })
+            .collect();
+        let servers: serde_json::Map<String, serde_json::Value> = nodes
+            .iter()
+            .map(|node| (node.id.to_string(), json!({"slots": 1000})))
+            .collect();
+        let names: Vec<&String> = servers.keys().collect();
+        let envelope = json!({"operator": "op", "version": 1, "patches": [], "document": {
+            "servers": servers, "deployments": {"dep": {"key": "0".repeat(64),
+            "services": {"s": {"servers": names, "timeout_ms": 1000}},
+            "limits": {"running": 1_000_000, "waiting": 1_000_000},
+            "program": {"tokens": 1_000_000, "calls": 1_000_000, "idle_s": 3600}}}}});
+        let now = Time::from_millis(1);
+        entry.step(now, Event::Registry(nodes.clone()), &mut out);
+        for node in &nodes {
+            entry.step(
+                now,
+                Event::LinkUp {
+                    node: node.id.clone(),
+                    boot: Boot(1),
+                },
+                &mut out,
+            );
+        }
+        entry.step(now, Event::Document(envelope.to_string()), &mut out);
+        let assignment = Assignment {
+            owner: Some(me),
+            keeper: Some(name(0)),
+            epoch: Epoch(1),
+            chosen: Epoch(1),
+            lost: Epoch(0),
+        };
+        let value = Block {
+            shards: vec![assignment; 64],
+        };
+        entry.step(
+            now,
+            Event::Block {
+                block: 0,
+                revision: 1,
+                value,
+            },
+            &mut out,
+        );
+        entry
+    }
+
+    fn call(program: ProgramId, serial: u64) -> Request {
+        Request::Call(Box::new(CallRequest {
+            program,
+            call: CallId(u128::from(serial) + (1 << 64)),
+            number: None,
+            keyed: true,
+            digest: Digest::default(),
+            operator: Operator::new("op"),
+            deployment: Deployment::new("dep"),
+            target: Target::Service {
+                service: Service::new("s"),
+                method: "POST".into(),
+                path: "/".into(),
+            },
+            idempotent: false,
+            supply: Supply::Append(None),
+            turns: Vec::new(),
+            body: Vec::new(),
+            tokens: 0,
+            urgency: Urgency::Normal,
+            patience: Duration::from_secs(60),
+        }))
+    }
+
+    /// Prints the reducer's time for each call of a program, from its arrival
+    /// to its end.
+    pub fn run(workers: usize, programs: u64) {
+        let mut bench = Bench {
+            entry: entry(workers),
+            now: Time::from_millis(2),
+            took: Duration::ZERO,
+        };
+        // The first acknowledgement ends the filling of the keeper.
+        let ids: Vec<ProgramId> = (1..=programs)
+            .map(|leaf| ProgramId {
+                root: leaf.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                leaf,
+            })
+            .collect();
+        for shard in 0..64 {
+            let message = Message::Kept {
+                shard: ShardId(shard),
+                epoch: Epoch(1),
+                seq: 2,
+            };
+            bench.step(Event::Message {
+                from: NodeId::new("w00000"),
+                message,
+            });
+        }
+        let mut serial = 0;
+        let mut ask = |bench: &mut Bench, request: Request| {
+            serial += 1;
+            bench.step(Event::Caller {
+                caller: CallerKey(serial),
+                request,
+                offset: 0,
+            });
+        };
+        for id in &ids {
+            let open = OpenRequest {
+                program: *id,
+                parent: None,
+                operator: Operator::new("op"),
+                deployment: Deployment::new("dep"),
+                limit: Amount {
+                    tokens: 1_000_000,
+                    calls: 1_000_000,
+                },
+            };
+            ask(&mut bench, Request::Open(open));
+        }
+        let opened = bench.entry.owner().programs_open();
+        bench.took = Duration::ZERO;
+        for serial in 0..CALLS {
+            let id = ids[(serial.wrapping_mul(7_919) % programs) as usize];
+            ask(&mut bench, call(id, serial));
+        }
+        let calls = bench.took.as_secs_f64() * 1e6 / CALLS as f64;
+        let ticks = 50;
+        bench.took = Duration::ZERO;
+        for _ in 0..ticks {
+            bench.now = bench.now + Duration::from_millis(25);
+            bench.step(Event::Tick);
+        }
+        let tick = bench.took.as_secs_f64() * 1e6 / f64::from(ticks);
+        println!("workers={workers} programs={opened} call_us={calls:.2} tick_us={tick:.1}");
+    }
+}
+
 fn main() {
     let args = Args::parse();
     smol::block_on(async {
@@ -334,6 +573,7 @@
                 entries,
                 sides,
             } => patch(count, entries, sides).await,
+            Command::Decide { workers, programs } => decide::run(workers, programs),
             Command::Takeover { programs, victim } => takeover(programs, &victim).await,
         }
     });
