--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -110,7 +110,7 @@
 
 impl Default for Affinity {
     fn default() -> Self {
-        Self { queue_weight: 1.0 }
+        Self { queue_weight: 0.3 }
     }
 }
 
--- a/net/src/registration.rs
+++ b/net/src/registration.rs
@@ -13,9 +13,9 @@
 use crate::store::StoreError;
 
 /// Life of a registration that is not renewed.
-const LEASE_SECS: u64 = 600;
+const LEASE_SECS: u64 = 1_800;
 /// Time between two renewals.
-const RENEW_EVERY: Duration = Duration::from_secs(120);
+const RENEW_EVERY: Duration = Duration::from_secs(600);
 /// Wait before another try.
 const PAUSE: Duration = Duration::from_millis(500);
 
--- a/testutils/src/bin/limpetferry-load.rs
+++ b/testutils/src/bin/limpetferry-load.rs
@@ -193,8 +193,11 @@
             .caller(0)
             .send("POST", "/v1/programs", &[], &Value::Null)
             .await;
-        if let Ok(got) = got {
-            programs.push(got.json()["id"].as_str().unwrap_or_default().to_owned());
+        match got {
+            Ok(got) if got.status == 200 => {
+                programs.push(got.json()["id"].as_str().unwrap_or_default().to_owned());
+            }
+            other => eprintln!("failed=open got={other:?}"),
         }
     }
     programs
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod engine;
+pub mod experiment;
 pub mod listen;
 pub mod probe;
 pub mod process;
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -2,6 +2,7 @@
 //! loopback, for the demonstration and for tests over real sockets.
 
 use std::collections::BTreeMap;
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
@@ -99,9 +100,17 @@
     }
 }
 
-/// Returns an address whose port was free a moment ago.
+/// Returns an address with a port that the system gave. The loopback address
+/// is drawn anew each time, so that no outgoing connection takes the port
+/// before the process that it is for.
 fn free() -> SocketAddr {
-    let listener = std::net::TcpListener::bind(any_port()).expect("a port is free");
+    let ip = Ipv4Addr::new(
+        127,
+        rand::random_range(1..255),
+        rand::random_range(0..255),
+        rand::random_range(1..255),
+    );
+    let listener = std::net::TcpListener::bind((ip, 0)).expect("a port is free");
     listener.local_addr().expect("a bound listener has one")
 }
 
