docs: work out the capacity at the target's size from measured slopes

Change: gen/capacity.json holds targets, slopes with their commands and the rows that follow; the generator writes docs/CAPACITY.md, and a test compares.

--- a/gen/src/main.rs
+++ b/gen/src/main.rs
@@ -1,17 +1,21 @@
-//! Generates `lib/src/code.rs` and `docs/errors.md` from `gen/errors.json`.
+//! Generates `lib/src/code.rs` and `docs/errors.md` from `gen/errors.json`, and
+//! `docs/CAPACITY.md` from `gen/capacity.json` and `gen/capacity.md`.
 //!
 //! The output is committed, so that the build does not need this program.
 
+mod capacity;
+
 use std::fmt::Write as _;
 use std::fs;
 use std::path::Path;
 use std::path::PathBuf;
 
+use capacity::Capacity;
 use clap::Parser;
 use eyre::WrapErr as _;
 use serde::Deserialize;
 
-/// Generates the error codes from their table.
+/// Generates the error codes and the page on capacity from their tables.
 #[derive(Parser)]
 struct Args {
     /// Root of the checkout.
@@ -162,21 +166,18 @@
     Ok(())
 }
 
+fn read(path: &Path) -> eyre::Result<String> {
+    fs::read_to_string(path).wrap_err_with(|| format!("cannot read {}", path.display()))
+}
+
 fn main() -> eyre::Result<()> {
     let args = Args::parse();
-    let table = args.root.join("gen/errors.json");
-    let json =
-        fs::read_to_string(&table).wrap_err_with(|| format!("cannot read {}", table.display()))?;
-    let rows: Vec<Row> =
-        serde_json::from_str(&json).wrap_err("gen/errors.json does not fit its form")?;
-    emit(
-        &args.root.join("lib/src/code.rs"),
-        &rust_text(&rows),
-        args.check,
-    )?;
-    emit(
-        &args.root.join("docs/errors.md"),
-        &page_text(&rows),
-        args.check,
-    )
+    let rows: Vec<Row> = serde_json::from_str(&read(&args.root.join("gen/errors.json"))?)
+        .wrap_err("gen/errors.json does not fit its form")?;
+    let capacity: Capacity = serde_json::from_str(&read(&args.root.join("gen/capacity.json"))?)
+        .wrap_err("gen/capacity.json does not fit its form")?;
+    let page = capacity.page(&read(&args.root.join("gen/capacity.md"))?)?;
+    emit(&args.root.join("lib/src/code.rs"), &rust_text(&rows), args.check)?;
+    emit(&args.root.join("docs/errors.md"), &page_text(&rows), args.check)?;
+    emit(&args.root.join("docs/CAPACITY.md"), &page, args.check)
 }
