--- /dev/null
+++ b/ctl/src/drain.rs
@@ -0,0 +1,35 @@
+//! `drain`: keeps new work from a backend server.
+
+use clap::Args;
+
+use crate::api::Failure;
+use crate::api::Target;
+use crate::api::text;
+
+/// Keeps new work from a backend server, or lets it have work again.
+#[derive(Clone, Debug, Args)]
+pub struct DrainArgs {
+    /// Name of the server's side process.
+    server: String,
+    /// Ends the drain.
+    #[arg(long)]
+    end: bool,
+}
+
+/// Runs `drain`.
+///
+/// # Errors
+///
+/// Returns a [`Failure`] with the exit code.
+pub fn cmd_drain(target: &Target, args: &DrainArgs) -> Result<(), Failure> {
+    let method = if args.end { "DELETE" } else { "POST" };
+    let answer = target.send(method, &format!("/v1/drains/{}", args.server), None)?;
+    target.print(&answer, |value| {
+        vec![format!(
+            "server={} draining={}",
+            text(value, "server"),
+            text(value, "draining")
+        )]
+    });
+    Ok(())
+}
--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -1,2 +1,79 @@
-//! Placeholder.
-fn main() {}
+//! The operators' command.
+
+use std::process::ExitCode;
+
+use clap::CommandFactory as _;
+use clap::Parser;
+use clap::Subcommand;
+
+mod api;
+mod config;
+mod drain;
+mod settle;
+mod status;
+
+use api::Target;
+
+/// Drives a limpetferry site: its document, its servers and its programs.
+///
+/// Exits with 0 if it is done, 1 if the command line is wrong, 2 if it was
+/// refused and nothing changed, and 3 if no answer came.
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    #[command(flatten)]
+    target: Target,
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    Config(config::ConfigArgs),
+    /// Prints the state of an entry and of the processes that it knows.
+    Status,
+    /// Prints the programs that an entry owns.
+    Programs,
+    Drain(drain::DrainArgs),
+    Settle(settle::SettleArgs),
+    /// Prints completions for a shell.
+    Completions {
+        /// The shell.
+        shell: clap_complete::Shell,
+    },
+}
+
+fn main() -> ExitCode {
+    let args = match Args::try_parse() {
+        Ok(args) => args,
+        Err(error) => {
+            let _ = error.print();
+            return ExitCode::from(u8::from(error.use_stderr()));
+        }
+    };
+    let target = &args.target;
+    let done = match &args.command {
+        Command::Config(args) => config::cmd_config(target, args),
+        Command::Status => status::cmd_status(target),
+        Command::Programs => status::cmd_programs(target),
+        Command::Drain(args) => drain::cmd_drain(target, args),
+        Command::Settle(args) => settle::cmd_settle(target, args),
+        Command::Completions { shell } => {
+            let mut command = Args::command();
+            clap_complete::generate(
+                *shell,
+                &mut command,
+                "limpetferry-ctl",
+                &mut std::io::stdout(),
+            );
+            Ok(())
+        }
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(failure) => {
+            eprintln!("{}", failure.message);
+            ExitCode::from(failure.code)
+        }
+    }
+}
--- a/gen/src/capacity.rs
+++ b/gen/src/capacity.rs
@@ -104,7 +104,11 @@
                 let value = values
                     .get(divisor.unwrap_or(name))
                     .ok_or_eyre(format!("{}: no input {name}", row.what))?;
-                product = if divisor.is_some() { product / value } else { product * value };
+                product = if divisor.is_some() {
+                    product / value
+                } else {
+                    product * value
+                };
             }
         }
     }
--- a/gen/src/main.rs
+++ b/gen/src/main.rs
@@ -177,7 +177,15 @@
     let capacity: Capacity = serde_json::from_str(&read(&args.root.join("gen/capacity.json"))?)
         .wrap_err("gen/capacity.json does not fit its form")?;
     let page = capacity.page(&read(&args.root.join("gen/capacity.md"))?)?;
-    emit(&args.root.join("lib/src/code.rs"), &rust_text(&rows), args.check)?;
-    emit(&args.root.join("docs/errors.md"), &page_text(&rows), args.check)?;
+    emit(
+        &args.root.join("lib/src/code.rs"),
+        &rust_text(&rows),
+        args.check,
+    )?;
+    emit(
+        &args.root.join("docs/errors.md"),
+        &page_text(&rows),
+        args.check,
+    )?;
     emit(&args.root.join("docs/CAPACITY.md"), &page, args.check)
 }
--- a/testutils/src/experiment.rs
+++ b/testutils/src/experiment.rs
@@ -69,13 +69,53 @@
 impl Mix {
     fn kinds(self) -> &'static [Kind] {
         const REGISTRARS: [Kind; 2] = [
-            Kind { share: 0.85, turns: 3, first: 1_500, more: 300, answer: 60, pause: 0.3, urgent: false },
-            Kind { share: 0.15, turns: 8, first: 3_000, more: 600, answer: 150, pause: 1.0, urgent: false },
+            Kind {
+                share: 0.85,
+                turns: 3,
+                first: 1_500,
+                more: 300,
+                answer: 60,
+                pause: 0.3,
+                urgent: false,
+            },
+            Kind {
+                share: 0.15,
+                turns: 8,
+                first: 3_000,
+                more: 600,
+                answer: 150,
+                pause: 1.0,
+                urgent: false,
+            },
         ];
         const CLYDEFORTH: [Kind; 3] = [
-            Kind { share: 0.60, turns: 4, first: 4_000, more: 800, answer: 200, pause: 1.0, urgent: false },
-            Kind { share: 0.30, turns: 25, first: 10_000, more: 1_500, answer: 300, pause: 8.0, urgent: false },
-            Kind { share: 0.10, turns: 2, first: 1_000, more: 200, answer: 40, pause: 0.2, urgent: true },
+            Kind {
+                share: 0.60,
+                turns: 4,
+                first: 4_000,
+                more: 800,
+                answer: 200,
+                pause: 1.0,
+                urgent: false,
+            },
+            Kind {
+                share: 0.30,
+                turns: 25,
+                first: 10_000,
+                more: 1_500,
+                answer: 300,
+                pause: 8.0,
+                urgent: false,
+            },
+            Kind {
+                share: 0.10,
+                turns: 2,
+                first: 1_000,
+                more: 200,
+                answer: 40,
+                pause: 0.2,
+                urgent: true,
+            },
         ];
         match self {
             Self::Registrars => &REGISTRARS,
@@ -85,8 +125,14 @@
 
     fn weights(self) -> Weights {
         match self {
-            Self::Registrars => Weights { latency: 1.0, waste: 0.5 },
-            Self::Clydeforth => Weights { latency: 1.0, waste: 2.0 },
+            Self::Registrars => Weights {
+                latency: 1.0,
+                waste: 0.5,
+            },
+            Self::Clydeforth => Weights {
+                latency: 1.0,
+                waste: 2.0,
+            },
         }
     }
 }
@@ -314,7 +360,8 @@
             let calls = engine.running + engine.queue.len();
             engine.reported = (calls as u32, engine.backlog.iter().sum());
         }
-        self.events.push(Reverse((self.now + REPORT, Event::Report)));
+        self.events
+            .push(Reverse((self.now + REPORT, Event::Report)));
     }
 
     fn call(&mut self, id: u64) {
@@ -324,7 +371,11 @@
             slots: SLOTS as u32,
             busy: engine.sent[entry].max(engine.reported.0),
             backlog: engine.backlog[entry].max(engine.reported.1),
-            cached: if program.warm == Some(index) { program.known } else { 0 },
+            cached: if program.warm == Some(index) {
+                program.known
+            } else {
+                0
+            },
         };
         let views: Vec<ServerView> = self.engines.iter().enumerate().map(view).collect();
         let call = CallView {
@@ -338,7 +389,11 @@
         let waiting = Waiting {
             arrived: now,
             deadline: now + Duration::from_secs(300),
-            urgency: if program.kind.urgent { Urgency::Urgent } else { Urgency::Normal },
+            urgency: if program.kind.urgent {
+                Urgency::Urgent
+            } else {
+                Urgency::Normal
+            },
             attained: program.attained,
             deployment: Deployment::new("all"),
         };
@@ -346,7 +401,9 @@
         let engine = &mut self.engines[index];
         engine.sent[entry] += 1;
         engine.backlog[entry] += need;
-        engine.queue.push(id, &waiting.deployment, self.ordering.rank(&waiting));
+        engine
+            .queue
+            .push(id, &waiting.deployment, self.ordering.rank(&waiting));
         self.start(index);
     }
 
@@ -363,7 +420,11 @@
             self.again += program.known.saturating_sub(held);
             engine.running += 1;
             engine.store(id, program.context, self.now);
-            let slower = if self.setup.slow && index == 0 { 10.0 } else { 1.0 };
+            let slower = if self.setup.slow && index == 0 {
+                10.0
+            } else {
+                1.0
+            };
             let took = missing as f64 / PREFILL + program.kind.answer as f64 / DECODE;
             let at = self.now + micros(took * slower);
             self.events.push(Reverse((at, Event::Done(id, index))));
@@ -411,7 +472,10 @@
         self.stretches.sort_by(f64::total_cmp);
         let at = |share: f64| {
             let last = self.stretches.len().saturating_sub(1);
-            self.stretches.get((last as f64 * share) as usize).copied().unwrap_or(0.0)
+            self.stretches
+                .get((last as f64 * share) as usize)
+                .copied()
+                .unwrap_or(0.0)
         };
         Figures {
             p50: at(0.5),
