--- /dev/null
+++ b/lib/src/ending.rs
@@ -0,0 +1,263 @@
+//! The end of a call: budgets, history, and the word to its callers.
+
+use crate::budget::Amount;
+use crate::code::Code;
+use crate::effect::Note;
+use crate::id::CallId;
+use crate::id::Deployment;
+use crate::id::Digest;
+use crate::id::NodeId;
+use crate::id::Operator;
+use crate::id::ProgramId;
+use crate::id::ShardId;
+use crate::message::Change;
+use crate::message::Message;
+use crate::message::Reply;
+use crate::message::Ticket;
+use crate::outcome::Outcome;
+use crate::outcome::Ran;
+use crate::outcome::Refusal;
+use crate::owner::Context;
+use crate::owner::Owner;
+use crate::owner::State;
+use crate::owner::Step;
+use crate::owner::Watcher;
+use crate::owner::ending;
+use crate::owner::gained;
+use crate::owner::outcome_word;
+use crate::owner::reply;
+use crate::owner::send_bytes;
+use crate::owner::share;
+use crate::owner::update;
+use crate::program::CallRecord;
+use crate::program::CallStage;
+
+impl Owner {
+    /// Refuses a call that has not been given to any server.
+    pub(crate) fn refuse(&mut self, cx: &mut Context<'_>, id: CallId, refusal: Refusal) {
+        debug_assert!(refusal.code.ran() != Ran::Ran);
+        self.conclude(cx, id, Outcome::Refused(refusal));
+    }
+
+    /// Cancels a call: at once if it has not been given to a server.
+    pub(crate) fn cancel(&mut self, cx: &mut Context<'_>, id: CallId, code: Code) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        match &call.state {
+            State::Ahead | State::Admitting | State::Reserving { .. } => {
+                self.refuse(cx, id, Refusal::new(code));
+            }
+            State::Running { server, .. } | State::Settling { server, .. } => {
+                let epoch = |shard: ShardId| self.shards.get(&shard).map(|h| (shard, h.epoch));
+                let message = Message::Cancel {
+                    shard: call.shard.and_then(epoch),
+                    call: id,
+                    attempt: call.record.attempt,
+                };
+                let server = server.clone();
+                cx.send(&server, message);
+            }
+            State::Recording { .. } => {}
+        }
+    }
+
+    /// Notes the end of a call, and tells its callers once the keeper has it.
+    pub(crate) fn conclude(&mut self, cx: &mut Context<'_>, id: CallId, outcome: Outcome) {
+        self.count(id, false);
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        if matches!(call.state, State::Recording { .. }) {
+            return;
+        }
+        if let Outcome::Answer(answer) = &outcome {
+            let have = call.bytes.len();
+            let rest = answer.body.get(have..).unwrap_or_default().to_vec();
+            call.bytes.extend_from_slice(&rest);
+            for watcher in &call.watchers {
+                send_bytes(cx, watcher, call.record.attempt, &call.bytes, have as u64);
+            }
+        }
+        let server = match &call.state {
+            State::Running { server, .. } | State::Settling { server, .. } => Some(server.clone()),
+            _ => None,
+        };
+        call.server.clone_from(&server);
+        let was_ahead = call.state == State::Ahead;
+        call.state = State::Recording {
+            outcome: outcome.clone(),
+        };
+        self.leave_admission(cx, id);
+        let Some(shard) = self.calls.get(&id).and_then(|call| call.shard) else {
+            self.forget_done(cx, id);
+            self.finish(cx, id);
+            return;
+        };
+        let change = self.conclude_program(cx, id, &outcome, server.as_ref(), was_ahead);
+        let seq = self.keep(cx, shard, change.unwrap_or(Change::Probe));
+        self.after(cx, shard, seq, Step::Finish(id));
+    }
+
+    /// Notes the end of a call in its program; returns the change for the
+    /// keeper, if there is anything to keep.
+    pub(crate) fn conclude_program(
+        &mut self,
+        cx: &mut Context<'_>,
+        id: CallId,
+        outcome: &Outcome,
+        server: Option<&NodeId>,
+        was_ahead: bool,
+    ) -> Option<Change> {
+        let call = self.calls.get_mut(&id)?;
+        call.record.stage = CallStage::Done(outcome.clone());
+        let record = call.record.clone();
+        let program_id = call.program;
+        let need = record.need;
+        let used = match outcome {
+            Outcome::Answer(answer) => Amount::one_call(answer.tokens),
+            Outcome::Refused(_) if outcome.is_not_run() => Amount::default(),
+            Outcome::Refused(_) => need,
+        };
+        self.settle_budget(program_id, need, used);
+        let above = self.budgets_above(program_id);
+        let program = self.programs.get_mut(&program_id)?;
+        program.touched = cx.now;
+        if was_ahead {
+            program.ahead.retain(|_, waiting| *waiting != id);
+            return (program.running == Some(id)).then(|| {
+                program.running = None;
+                program.copy.head.next -= 1;
+                update(&program.copy, above, None, Vec::new(), false)
+            });
+        }
+        if outcome.is_not_run() {
+            program.copy.head.next = record.number;
+        }
+        program.copy.put(record.clone());
+        let (turns, replace) = gained(&record, outcome);
+        program.copy.remember(replace, turns.clone());
+        if let Outcome::Answer(answer) = outcome {
+            program.copy.head.attained += answer.tokens;
+        }
+        if let Some(server) = server.filter(|_| !record.turns.is_empty()) {
+            self.move_cache(cx, program_id, server);
+        }
+        let program = self.programs.get(&program_id)?;
+        Some(update(&program.copy, above, Some(record), turns, replace))
+    }
+
+    /// Notes that `server` may hold cache for a program now, whatever became
+    /// of the call, and releases what an earlier server or a gone program has.
+    pub(crate) fn move_cache(&mut self, cx: &mut Context<'_>, id: ProgramId, server: &NodeId) {
+        let Some(program) = self.programs.get_mut(&id) else {
+            return;
+        };
+        let head = &mut program.copy.head;
+        let old = head.warm.replace(server.clone());
+        let left = old.filter(|old| old != server);
+        let gone = if head.ended { head.warm.take() } else { None };
+        for node in left.into_iter().chain(gone) {
+            cx.send(&node, Message::Release { program: id });
+        }
+    }
+
+    pub(crate) fn leave_admission(&mut self, cx: &mut Context<'_>, id: CallId) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let key = (call.operator.clone(), call.deployment.clone());
+        if std::mem::take(&mut call.admitted) {
+            self.admission.leave(&key);
+        } else {
+            self.admission.withdraw(&key, id);
+        }
+        self.admit_next(cx, &key);
+    }
+
+    pub(crate) fn admit_next(&mut self, cx: &mut Context<'_>, key: &(Operator, Deployment)) {
+        let Some(rules) = cx.documents.rules(&key.0, &key.1) else {
+            return;
+        };
+        let limits = share(&rules.limits, cx.members.entries() + 1);
+        if let Some(next) = self.admission.next(key, &limits) {
+            if let Some(call) = self.calls.get_mut(&next) {
+                call.admitted = true;
+                self.place(cx, next);
+            } else {
+                self.admission.leave(key);
+            }
+        }
+    }
+
+    /// Tells the callers of a call how it ended, and lets the next one run.
+    pub(crate) fn finish(&mut self, cx: &mut Context<'_>, id: CallId) {
+        let Some(call) = self.calls.remove(&id) else {
+            return;
+        };
+        let State::Recording { outcome } = call.state else {
+            return;
+        };
+        let digest = self
+            .programs
+            .get(&call.program)
+            .map_or(Digest::default(), |program| program.copy.history.digest());
+        for watcher in &call.watchers {
+            reply(cx, watcher, ending(&call.record, &outcome, digest));
+        }
+        let note = Note::new("call_ended")
+            .with("call", id)
+            .with("program", call.program)
+            .with("number", call.record.number)
+            .with("outcome", outcome_word(&outcome));
+        cx.note(note);
+        let Some(program) = self.programs.get_mut(&call.program) else {
+            return;
+        };
+        if program.running == Some(id) {
+            program.running = None;
+        }
+        self.next_turn(cx, call.program);
+    }
+
+    pub(crate) fn answer_again(
+        &mut self,
+        cx: &mut Context<'_>,
+        watcher: &Watcher,
+        record: &CallRecord,
+        offset: u64,
+    ) {
+        let CallStage::Done(outcome) = &record.stage else {
+            reply(cx, watcher, Reply::Refused(Refusal::new(Code::Settling)));
+            return;
+        };
+        if let Outcome::Answer(answer) = outcome {
+            send_bytes(cx, watcher, record.attempt, &answer.body, offset);
+        }
+        let digest = self
+            .programs
+            .values()
+            .find(|program| program.copy.record(record.call).is_some())
+            .map_or(Digest::default(), |program| program.copy.history.digest());
+        reply(cx, watcher, ending(record, outcome, digest));
+    }
+
+    pub(crate) fn withdraw(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: &NodeId,
+        ticket: Ticket,
+        id: CallId,
+    ) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.watchers
+            .retain(|watcher| watcher.ticket != ticket || watcher.node != *from);
+        let keyed = call.request.as_ref().is_none_or(|request| request.keyed);
+        if call.watchers.is_empty() && !keyed && call.record.idempotent {
+            // Nobody can ask for this answer any more.
+            self.cancel(cx, id, Code::DeadlinePassed);
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/submission.rs
@@ -0,0 +1,307 @@
+//! Requests to the owner of a program: opening, reading, ending, and the
+//! operator's word on a call.
+
+use std::collections::BTreeMap;
+
+use crate::budget::Budget;
+use crate::code::Code;
+use crate::id::CallId;
+use crate::id::NodeId;
+use crate::id::ProgramId;
+use crate::id::ShardId;
+use crate::message::Change;
+use crate::message::Judgement;
+use crate::message::Message;
+use crate::message::OpenRequest;
+use crate::message::Reply;
+use crate::message::Request;
+use crate::message::Ticket;
+use crate::outcome::Outcome;
+use crate::outcome::Refusal;
+use crate::owner::Context;
+use crate::owner::Owner;
+use crate::owner::Parked;
+use crate::owner::Part;
+use crate::owner::Phase;
+use crate::owner::Program;
+use crate::owner::Step;
+use crate::owner::Watcher;
+use crate::owner::is_free;
+use crate::owner::reply;
+use crate::owner::update;
+use crate::program::CallStage;
+use crate::program::ProgramCopy;
+use crate::program::ProgramHead;
+
+impl Owner {
+    pub(crate) fn submit(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: &NodeId,
+        ticket: Ticket,
+        request: Request,
+        offset: u64,
+    ) {
+        let watcher = Watcher {
+            node: from.clone(),
+            ticket,
+        };
+        if let Request::Call(call) = &request {
+            if is_free(call) {
+                let Request::Call(call) = request else { return };
+                self.accept_call(cx, None, watcher, call, offset);
+                return;
+            }
+        }
+        let shard = request.program().shard(cx.rules.shards);
+        let Some(held) = self.shards.get_mut(&shard) else {
+            reply(cx, &watcher, Reply::Moved);
+            return;
+        };
+        if held.phase == Phase::Adopting {
+            if held.parked.len() < cx.rules.parked {
+                held.parked.push(Parked {
+                    watcher,
+                    request,
+                    offset,
+                });
+            } else {
+                reply(cx, &watcher, Reply::Moved);
+            }
+            return;
+        }
+        self.accept(cx, shard, watcher, request, offset);
+    }
+
+    pub(crate) fn accept(
+        &mut self,
+        cx: &mut Context<'_>,
+        shard: ShardId,
+        watcher: Watcher,
+        request: Request,
+        offset: u64,
+    ) {
+        match request {
+            Request::Call(call) => self.accept_call(cx, Some(shard), watcher, call, offset),
+            Request::Open(open) => self.open(cx, shard, watcher, &open),
+            Request::Read(program) => self.read(cx, shard, watcher, program),
+            Request::End(program) => self.end(cx, shard, watcher, program),
+            Request::Judge(judgement) => self.judge(cx, shard, watcher, &judgement),
+        }
+    }
+
+    pub(crate) fn open(
+        &mut self,
+        cx: &mut Context<'_>,
+        shard: ShardId,
+        watcher: Watcher,
+        open: &OpenRequest,
+    ) {
+        if self.programs.contains_key(&open.program) {
+            // Sent again: the program is there, the answer was lost.
+            let seq = self.shards.get(&shard).map_or(0, |held| held.seq);
+            self.after(
+                cx,
+                shard,
+                seq,
+                Step::Answer(watcher, open.program, Part::Head),
+            );
+            return;
+        }
+        let stuck = self
+            .shards
+            .get(&shard)
+            .is_some_and(|held| held.is_stuck(cx));
+        if stuck {
+            reply(cx, &watcher, Reply::Refused(Refusal::new(Code::NoKeeper)));
+            return;
+        }
+        if let Err(refusal) = self.check_open(cx, open) {
+            self.refuse_caller(cx, Some(shard), watcher, refusal);
+            return;
+        }
+        let head = ProgramHead {
+            operator: open.operator.clone(),
+            deployment: open.deployment.clone(),
+            parent: open.parent,
+            next: 1,
+            budget: Budget::new(open.limit),
+            ended: false,
+            warm: None,
+            attained: 0,
+        };
+        let copy = ProgramCopy::new(open.program, head);
+        let change = Change::Program(Box::new(copy.clone()));
+        self.insert_program(cx, copy);
+        let seq = self.keep(cx, shard, change);
+        self.after(
+            cx,
+            shard,
+            seq,
+            Step::Answer(watcher, open.program, Part::Head),
+        );
+    }
+
+    pub(crate) fn check_open(&self, cx: &Context<'_>, open: &OpenRequest) -> Result<(), Refusal> {
+        if cx
+            .documents
+            .rules(&open.operator, &open.deployment)
+            .is_none()
+        {
+            return Err(Refusal::new(Code::BadKey));
+        }
+        if self.programs.len() >= cx.rules.programs {
+            return Err(Refusal::with(
+                Code::Overloaded,
+                "too many programs are open",
+            ));
+        }
+        let Some(parent) = open.parent else {
+            return Ok(());
+        };
+        match self.programs.get(&parent) {
+            None => Err(Refusal::with(Code::ProgramUnknown, "the parent")),
+            Some(program) if program.copy.head.ended => {
+                Err(Refusal::with(Code::ProgramEnded, "the parent"))
+            }
+            Some(program) if program.copy.head.deployment != open.deployment => Err(Refusal::with(
+                Code::BadKey,
+                "the parent is another deployment's",
+            )),
+            Some(_) => Ok(()),
+        }
+    }
+
+    pub(crate) fn insert_program(&mut self, cx: &Context<'_>, copy: ProgramCopy) {
+        let id = copy.program;
+        let program = Program {
+            copy,
+            ahead: BTreeMap::new(),
+            running: None,
+            touched: cx.now,
+        };
+        self.idle.insert((cx.now, id));
+        self.programs.insert(id, program);
+    }
+
+    pub(crate) fn read(
+        &mut self,
+        cx: &mut Context<'_>,
+        shard: ShardId,
+        watcher: Watcher,
+        id: ProgramId,
+    ) {
+        let seq = self.keep(cx, shard, Change::Probe);
+        self.after(cx, shard, seq, Step::Answer(watcher, id, Part::Whole));
+    }
+
+    pub(crate) fn end(
+        &mut self,
+        cx: &mut Context<'_>,
+        shard: ShardId,
+        watcher: Watcher,
+        id: ProgramId,
+    ) {
+        if !self.programs.contains_key(&id) {
+            self.refuse_caller(cx, Some(shard), watcher, Refusal::new(Code::ProgramUnknown));
+            return;
+        }
+        let seq = self.end_tree(cx, shard, id);
+        self.after(cx, shard, seq, Step::Answer(watcher, id, Part::Head));
+    }
+
+    /// Ends a program and its sub-agents; returns the number of the last
+    /// change.
+    pub(crate) fn end_tree(&mut self, cx: &mut Context<'_>, shard: ShardId, id: ProgramId) -> u64 {
+        let mut seq = self.shards.get(&shard).map_or(0, |held| held.seq);
+        for member in self.tree(id) {
+            let Some(program) = self.programs.get_mut(&member) else {
+                continue;
+            };
+            program.touched = cx.now;
+            let warm = program.copy.head.warm.take();
+            let waiting: Vec<CallId> = program.ahead.values().copied().collect();
+            let running = program.running;
+            program.copy.head.ended = true;
+            for call in waiting {
+                self.refuse(cx, call, Refusal::new(Code::ProgramEnded));
+            }
+            if let Some(call) = running {
+                self.cancel(cx, call, Code::ProgramEnded);
+            }
+            if let Some(server) = warm {
+                cx.send(&server, Message::Release { program: member });
+            }
+            seq = self.keep_head(cx, member);
+        }
+        seq
+    }
+
+    /// Returns a program and all its sub-agents. They share a root, so that
+    /// the search is over one tree only.
+    pub(crate) fn tree(&self, id: ProgramId) -> Vec<ProgramId> {
+        let mut found = vec![id];
+        let first = ProgramId {
+            root: id.root,
+            leaf: 0,
+        };
+        let last = ProgramId {
+            root: id.root,
+            leaf: u64::MAX,
+        };
+        let mut next = 0;
+        while next < found.len() {
+            let parent = found[next];
+            for (child, program) in self.programs.range(first..=last) {
+                if program.copy.head.parent == Some(parent) {
+                    found.push(*child);
+                }
+            }
+            next += 1;
+        }
+        found
+    }
+
+    /// Settles a call of unknown outcome by an operator's word.
+    pub(crate) fn judge(
+        &mut self,
+        cx: &mut Context<'_>,
+        shard: ShardId,
+        watcher: Watcher,
+        judgement: &Judgement,
+    ) {
+        let Some(program) = self.programs.get_mut(&judgement.program) else {
+            self.refuse_caller(cx, Some(shard), watcher, Refusal::new(Code::ProgramUnknown));
+            return;
+        };
+        let unknown = CallStage::Done(Outcome::refused(Code::OutcomeUnknown));
+        let record = program.copy.record(judgement.call);
+        let Some(record) = record.filter(|record| record.stage == unknown) else {
+            let detail = "the call's outcome is not unknown";
+            reply(
+                cx,
+                &watcher,
+                Reply::Refused(Refusal::with(Code::BadRequest, detail)),
+            );
+            return;
+        };
+        let mut record = record.clone();
+        // A call that did not run leaves no record, so that its caller may
+        // send it again.
+        let code = if judgement.ran {
+            Code::AnswerExpired
+        } else {
+            Code::NoServer
+        };
+        record.stage = CallStage::Done(Outcome::refused(code));
+        program.copy.put(record.clone());
+        let change = update(&program.copy, Vec::new(), Some(record), Vec::new(), false);
+        let seq = self.keep(cx, shard, change);
+        self.after(
+            cx,
+            shard,
+            seq,
+            Step::Answer(watcher, judgement.program, Part::Head),
+        );
+    }
+}
--- /dev/null
+++ b/lib/src/takeover.rs
@@ -0,0 +1,236 @@
+//! Taking a shard over from a keeper's copy, and giving one away.
+
+use crate::effect::Note;
+use crate::id::CallId;
+use crate::id::Epoch;
+use crate::id::NodeId;
+use crate::id::ShardId;
+use crate::message::Message;
+use crate::message::Reply;
+use crate::owner::Call;
+use crate::owner::Context;
+use crate::owner::Held;
+use crate::owner::Owner;
+use crate::owner::Parked;
+use crate::owner::Phase;
+use crate::owner::State;
+use crate::owner::Step;
+use crate::owner::reply;
+use crate::program::CallStage;
+use crate::program::ProgramCopy;
+use crate::shard::Assignment;
+
+impl Owner {
+    /// Starts to own `shard` as `assignment` says. `fresh` says that there is
+    /// nothing to take over.
+    pub(crate) fn acquire(
+        &mut self,
+        cx: &mut Context<'_>,
+        shard: ShardId,
+        assignment: &Assignment,
+        fresh: bool,
+    ) {
+        self.release(cx, shard);
+        let phase = if fresh { Phase::Whole } else { Phase::Adopting };
+        let held = Held::new(cx.now, assignment, phase);
+        self.shards.insert(shard, held);
+        if fresh {
+            self.fill(cx, shard);
+        } else {
+            self.ask_copy(cx, shard);
+        }
+    }
+
+    /// Goes on owning `shard` under a new epoch, with another keeper.
+    pub(crate) fn renew(&mut self, cx: &mut Context<'_>, shard: ShardId, assignment: &Assignment) {
+        let Some(held) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        held.epoch = assignment.epoch;
+        held.keeper.clone_from(&assignment.keeper);
+        held.chosen = assignment.chosen;
+        held.lossy = assignment.lost.0 > 0;
+        if held.phase == Phase::Adopting {
+            // Both copies are lost: the shard goes on without its programs.
+            held.phase = Phase::Whole;
+            held.incoming.clear();
+            let parked = std::mem::take(&mut held.parked);
+            self.fill(cx, shard);
+            self.unpark(cx, shard, parked);
+            return;
+        }
+        self.fill(cx, shard);
+    }
+
+    pub(crate) fn ask_copy(&mut self, cx: &mut Context<'_>, shard: ShardId) {
+        let Some(held) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        if held.phase != Phase::Adopting {
+            return;
+        }
+        if let Some(keeper) = held.keeper.clone() {
+            let message = Message::Adopt {
+                shard,
+                epoch: held.epoch,
+                chosen: held.chosen,
+            };
+            cx.send(&keeper, message);
+        }
+    }
+
+    pub(crate) fn copy(&mut self, from: &NodeId, shard: ShardId, epoch: Epoch, copy: ProgramCopy) {
+        if let Some(held) = self.shards.get_mut(&shard) {
+            if held.epoch == epoch
+                && held.keeper.as_ref() == Some(from)
+                && held.phase == Phase::Adopting
+            {
+                held.incoming.insert(copy.program, copy);
+            }
+        }
+    }
+
+    pub(crate) fn copied(
+        &mut self,
+        cx: &mut Context<'_>,
+        from: &NodeId,
+        shard: ShardId,
+        epoch: Epoch,
+        seq: Option<u64>,
+    ) {
+        let Some(held) = self.shards.get_mut(&shard) else {
+            return;
+        };
+        if held.epoch != epoch
+            || held.keeper.as_ref() != Some(from)
+            || held.phase != Phase::Adopting
+        {
+            return;
+        }
+        let Some(seq) = seq else {
+            held.hopeless = true;
+            held.incoming.clear();
+            return;
+        };
+        held.seq = seq;
+        held.phase = Phase::Whole;
+        let incoming = std::mem::take(&mut held.incoming);
+        let parked = std::mem::take(&mut held.parked);
+        let count = incoming.len();
+        for copy in incoming.into_values() {
+            self.install(cx, shard, copy);
+        }
+        cx.note(
+            Note::new("shard_adopted")
+                .with("shard", shard)
+                .with("epoch", epoch)
+                .with("programs", count),
+        );
+        self.unpark(cx, shard, parked);
+    }
+
+    pub(crate) fn unpark(&mut self, cx: &mut Context<'_>, shard: ShardId, parked: Vec<Parked>) {
+        for item in parked {
+            self.accept(cx, shard, item.watcher, item.request, item.offset);
+        }
+    }
+
+    /// Takes over a program; a call that may be running is asked about.
+    pub(crate) fn install(&mut self, cx: &mut Context<'_>, shard: ShardId, copy: ProgramCopy) {
+        let open = copy.open_call().cloned();
+        let id = copy.program;
+        let (operator, deployment) = (copy.head.operator.clone(), copy.head.deployment.clone());
+        self.insert_program(cx, copy);
+        let Some(record) = open else {
+            return;
+        };
+        let CallStage::Intended { server, boot } = record.stage.clone() else {
+            return;
+        };
+        if let Some(program) = self.programs.get_mut(&id) {
+            program.running = Some(record.call);
+        }
+        let call = Call {
+            request: None,
+            shard: Some(shard),
+            program: id,
+            state: State::Settling {
+                server,
+                boot,
+                since: cx.now,
+            },
+            watchers: Vec::new(),
+            bytes: Vec::new(),
+            deadline: cx.now + cx.rules.retention(),
+            tried: Vec::new(),
+            server: None,
+            admitted: false,
+            operator,
+            deployment,
+            record,
+        };
+        let call_id = call.record.call;
+        self.timers
+            .insert((cx.now + cx.rules.settle_wait(), call_id));
+        self.calls.insert(call_id, call);
+        self.count(call_id, true);
+        self.ask(cx, call_id);
+    }
+
+    pub(crate) fn ask(&mut self, cx: &mut Context<'_>, id: CallId) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let (State::Running { server, boot } | State::Settling { server, boot, .. }) = &call.state
+        else {
+            return;
+        };
+        let epoch = |shard: ShardId| self.shards.get(&shard).map(|held| (shard, held.epoch));
+        let message = Message::Settle {
+            shard: call.shard.and_then(epoch),
+            boot: *boot,
+            call: id,
+            attempt: call.record.attempt,
+        };
+        let server = server.clone();
+        cx.send(&server, message);
+    }
+
+    /// Stops owning `shard`; its callers' entries go to the new owner.
+    pub(crate) fn release(&mut self, cx: &mut Context<'_>, shard: ShardId) {
+        let Some(held) = self.shards.remove(&shard) else {
+            return;
+        };
+        for item in held.parked {
+            reply(cx, &item.watcher, Reply::Moved);
+        }
+        for (_, step) in held.steps {
+            if let Step::Answer(watcher, _, _) | Step::Refuse(watcher, _) = step {
+                reply(cx, &watcher, Reply::Moved);
+            }
+        }
+        let gone: Vec<CallId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| call.shard == Some(shard))
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            self.count(id, false);
+            let Some(call) = self.calls.remove(&id) else {
+                continue;
+            };
+            let key = (call.operator.clone(), call.deployment.clone());
+            if call.admitted {
+                self.admission.leave(&key);
+            } else {
+                self.admission.withdraw(&key, id);
+            }
+            for watcher in &call.watchers {
+                reply(cx, watcher, Reply::Moved);
+            }
+        }
+        let count = cx.rules.shards;
+        self.programs.retain(|id, _| id.shard(count) != shard);
+    }
+}
