net: test the refusals that callers and operators meet

Cause: most error codes had no test over sockets.

Change: six tests bring about bad keys and bodies, unknown names, budgets of a tree, numbers out of turn, a stale history, full limits, no server, and faulty patches. The engine stand-in can hold its answers, so that a test of limits does not depend on time: its first form raced two callers for one place and failed on that.

--- a/lib/tests/named.rs
+++ b/lib/tests/named.rs
@@ -11,6 +11,7 @@
         "lib/tests/promises.rs",
         "net/tests/failures.rs",
         "net/tests/whole_path.rs",
+        "net/tests/errors.rs",
     ];
     let code: String = files
         .iter()
--- /dev/null
+++ b/net/tests/errors.rs
@@ -0,0 +1,218 @@
+//! The refusals that callers and operators meet, each brought about over real
+//! sockets.
+
+use limpetferry_testutils::client::Caller;
+use limpetferry_testutils::client::Got;
+use limpetferry_testutils::engine::EngineRules;
+use limpetferry_testutils::site::Site;
+use limpetferry_testutils::site::eventually;
+use serde_json::Value;
+use serde_json::json;
+
+const CHAT: &str = "/v1/chat/completions";
+const TRANSFER: &str = "/v1/tools/transfers/move";
+
+async fn send(
+    caller: &Caller,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &Value,
+) -> Got {
+    let sent = caller.send(method, path, headers, body).await;
+    sent.expect("the entry answers")
+}
+
+async fn open_program(caller: &Caller, body: &Value) -> String {
+    let got = send(caller, "POST", "/v1/programs", &[], body).await;
+    got.json()["id"].as_str().expect("an id").to_owned()
+}
+
+fn question() -> Value {
+    json!({"model": "cask-7b", "messages": [{"role": "user", "content": "hello"}]})
+}
+
+/// Applies a merge patch as version `base` plus one.
+async fn patch(site: &Site, base: u64, change: Value) {
+    let body = json!({"id": format!("p{base}"), "base": base, "change": {"merge": change}});
+    let got = send(&site.operator(0), "POST", "/v1/config/patches", &[], &body).await;
+    assert_eq!(got.status, 200, "{got:?}");
+}
+
+fn assert_refused(got: &Got, status: u16, code: &str, ran: &str) {
+    let error = &got.json()["error"];
+    assert_eq!(got.status, status, "{got:?}");
+    assert_eq!(error["code"], code);
+    assert_eq!(error["ran"], ran);
+    assert!(
+        error["remedy"]
+            .as_str()
+            .is_some_and(|text| !text.is_empty())
+    );
+}
+
+#[test]
+fn malformed_requests_are_refused_before_anything_runs() {
+    smol::block_on(async {
+        let site = Site::start(1, 1, 1).await;
+        let caller = site.caller(0);
+        let stranger = Caller::new(site.entries[0].callers, "no such key");
+        let long = json!({"model": "cask-7b", "messages": [{"role": "user", "content": "x".repeat(5 << 20)}]});
+
+        let bad_key = send(&stranger, "POST", CHAT, &[], &question()).await;
+        let bad_body = send(&caller, "POST", CHAT, &[], &json!([1])).await;
+        let bad_number = send(
+            &caller,
+            "POST",
+            CHAT,
+            &[("limpetferry-call", "x")],
+            &question(),
+        )
+        .await;
+        let model = json!({"model": "none", "messages": [{"role": "user", "content": "x"}]});
+        let bad_model = send(&caller, "POST", CHAT, &[], &model).await;
+        let bad_service = send(&caller, "POST", "/v1/tools/none/x", &[], &json!({})).await;
+        let too_large = send(&caller, "POST", CHAT, &[], &long).await;
+
+        assert_refused(&bad_key, 401, "bad_key", "not_run");
+        assert_refused(&bad_body, 400, "bad_request", "not_run");
+        assert_refused(&bad_number, 400, "bad_request", "not_run");
+        assert_refused(&bad_model, 404, "unknown_model", "not_run");
+        assert_refused(&bad_service, 404, "unknown_service", "not_run");
+        assert_refused(&too_large, 413, "too_large", "not_run");
+        assert_eq!(site.engines[0].served(), 0);
+    });
+}
+
+#[test]
+fn a_programs_own_rules_are_kept() {
+    smol::block_on(async {
+        let site = Site::start(1, 1, 1).await;
+        let caller = site.caller(0);
+        let program = open_program(&caller, &json!({"calls": 1})).await;
+        let own = ("limpetferry-program", program.as_str());
+        let stale = ("limpetferry-base", "00000000000000000000000000000001");
+        let append = ("limpetferry-history", "append");
+
+        let mismatch = send(&caller, "POST", CHAT, &[own, append, stale], &question()).await;
+        let early = [own, ("limpetferry-call", "40")];
+        let out_of_turn = send(&caller, "POST", TRANSFER, &early, &json!({})).await;
+        let first = send(&caller, "POST", TRANSFER, &[own], &json!({})).await;
+        let budget = send(&caller, "POST", TRANSFER, &[own], &json!({})).await;
+        let path = format!("/v1/programs/{program}");
+        send(&caller, "DELETE", &path, &[], &Value::Null).await;
+        let ended = send(&caller, "POST", TRANSFER, &[own], &json!({})).await;
+        let nobody = "/v1/programs/p-0000000000000001-0000000000000001";
+        let unknown = send(&caller, "GET", nobody, &[], &Value::Null).await;
+
+        assert_refused(&mismatch, 409, "history_mismatch", "not_run");
+        assert_refused(&out_of_turn, 409, "out_of_turn", "not_run");
+        assert_eq!(first.status, 200);
+        assert_refused(&budget, 429, "budget_spent", "not_run");
+        assert_refused(&ended, 409, "program_ended", "not_run");
+        assert_refused(&unknown, 404, "program_unknown", "unknown");
+        assert_eq!(site.services[0].runs().len(), 1);
+    });
+}
+
+#[test]
+fn a_sub_agent_draws_on_its_parents_budget() {
+    smol::block_on(async {
+        let site = Site::start(2, 1, 1).await;
+        let caller = site.caller(0);
+        let parent = open_program(&caller, &json!({"calls": 2})).await;
+        let child = open_program(&site.caller(1), &json!({"parent": parent})).await;
+        let of_child = [("limpetferry-program", child.as_str())];
+        let of_parent = [("limpetferry-program", parent.as_str())];
+
+        let first = send(&site.caller(1), "POST", TRANSFER, &of_child, &json!({})).await;
+        let second = send(&caller, "POST", TRANSFER, &of_parent, &json!({})).await;
+        let third = send(&site.caller(1), "POST", TRANSFER, &of_child, &json!({})).await;
+
+        assert_eq!([first.status, second.status], [200, 200]);
+        assert_refused(&third, 429, "budget_spent", "not_run");
+    });
+}
+
+#[test]
+fn more_than_the_limits_allow_is_refused_at_once() {
+    smol::block_on(async {
+        let site = Site::start(1, 1, 0).await;
+        let limits = json!({"deployments": {"register": {"limits": {"running": 1, "waiting": 1}}}});
+        patch(&site, 1, limits).await;
+        let held = EngineRules {
+            hold: true,
+            ..EngineRules::default()
+        };
+        site.engines[0].set_rules(held);
+        let body = question();
+        let short = [("limpetferry-patience-ms", "50")];
+        let callers = [site.caller(0), site.caller(0), site.caller(0)];
+
+        let first = send(&callers[0], "POST", CHAT, &[], &body);
+        let rest = async {
+            eventually("the first call runs", async || {
+                site.engines[0].running() == 1
+            })
+            .await;
+            let late = send(&callers[1], "POST", CHAT, &short, &body).await;
+            // Of these two, one waits until the first has ended.
+            let pair = [1, 2].map(|index| send(&callers[index], "POST", CHAT, &[], &body));
+            let mut pair = pair.map(Box::pin).into_iter().collect::<Vec<_>>();
+            let (refused, _, waiting) = futures_util::future::select_all(pair.drain(..)).await;
+            site.engines[0].set_rules(EngineRules::default());
+            let waited = futures_util::future::join_all(waiting).await.remove(0);
+            (late, refused, waited)
+        };
+        let (first, (late, refused, waited)) = futures_lite::future::zip(first, rest).await;
+
+        assert_refused(&late, 504, "deadline_passed", "not_run");
+        assert_refused(&refused, 503, "overloaded", "not_run");
+        assert_eq!([first.status, waited.status], [200, 200]);
+    });
+}
+
+#[test]
+fn without_a_server_in_service_nothing_runs() {
+    smol::block_on(async {
+        let mut site = Site::start(1, 1, 1).await;
+        assert!(site.process("tool-1").stop().await);
+        let caller = site.caller(0);
+
+        let got = send(
+            &caller,
+            "POST",
+            "/v1/tools/transfers/lookup",
+            &[],
+            &json!({}),
+        )
+        .await;
+
+        assert_refused(&got, 503, "no_server", "not_run");
+        assert_eq!(got.json()["error"]["retry_after"], 2);
+    });
+}
+
+#[test]
+fn operators_are_told_what_is_wrong() {
+    smol::block_on(async {
+        let site = Site::start(1, 1, 0).await;
+        let stranger = Caller::new(site.entries[0].operators, "no such key at all");
+        let operator = site.operator(0);
+        let faulty = json!({"id": "x", "base": 1, "change": {"merge":
+            {"deployments": {"register": {"program": {"tokens": 5}}}}}});
+
+        let bad_key = send(&stranger, "GET", "/v1/config", &[], &Value::Null).await;
+        let refused = send(&operator, "POST", "/v1/config/patches", &[], &faulty).await;
+        let drained = send(&operator, "POST", "/v1/drains/nobody", &[], &Value::Null).await;
+
+        assert_refused(&bad_key, 401, "bad_key", "not_run");
+        assert_refused(&refused, 422, "bad_document", "not_run");
+        assert!(
+            refused.json()["error"]["message"]
+                .to_string()
+                .contains("raise program.tokens")
+        );
+        assert_refused(&drained, 400, "bad_request", "not_run");
+    });
+}
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -25,6 +25,9 @@
 use serde_json::Value;
 use serde_json::json;
 
+/// Time between two looks whether answers are still held.
+const HOLD_LOOK: Duration = Duration::from_millis(5);
+
 /// How the stand-in works, and faults that a test switches on.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 #[serde(default)]
@@ -38,6 +41,8 @@
     pub prefill_us: u64,
     /// Whether orders with a fencing number below the highest are refused.
     pub fencing: bool,
+    /// Whether answers wait until this is switched off.
+    pub hold: bool,
     /// Number of the token after which answers break off; zero for never.
     pub break_at: u64,
 }
@@ -49,6 +54,7 @@
             token_us: 0,
             prefill_us: 0,
             fencing: false,
+            hold: false,
             break_at: 0,
         }
     }
@@ -205,6 +211,7 @@
         pieces.truncate(rules.break_at as usize);
     }
     let wait = Duration::from_micros(rules.token_us);
+    let engine = running.0.clone();
     let state = (pieces.into_iter(), running);
     let frames = futures_lite::stream::unfold(state, move |(mut pieces, running)| async move {
         let piece = pieces.next()?;
@@ -218,6 +225,9 @@
     // closes the connection.
     smol::spawn(async move {
         let mut frames = std::pin::pin!(frames);
+        while engine.lock().rules.hold && !sender.is_closed() {
+            smol::Timer::after(HOLD_LOOK).await;
+        }
         while let Some(frame) = futures_lite::StreamExt::next(&mut frames).await {
             if sender.send(frame).await.is_err() {
                 return;
