net, lib: let one piece of code serve where two stood

Change: LinkTable tells what an event means, start::start runs a process, Site::open_program opens one.

--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -1,13 +1,10 @@
-//! Starts an entry: reads settings, starts logging, and waits for a signal.
+//! Starts an entry.
 
 use std::path::PathBuf;
 
 use clap::Parser;
 use limpetferry_net::entry_node;
-use limpetferry_net::log;
-use limpetferry_net::settings;
-use limpetferry_net::settings::EntrySettings;
-use limpetferry_net::signals::stop_signal;
+use limpetferry_net::start::start;
 
 /// Runs the limpetferry entry process.
 #[derive(Parser)]
@@ -23,14 +20,5 @@
 
 fn main() -> eyre::Result<()> {
     let args = Args::parse();
-    let settings: EntrySettings = settings::read(&args.settings)?;
-    if args.check {
-        println!("{}: no faults", args.settings.display());
-        return Ok(());
-    }
-    log::init(&settings.common.log)?;
-    let stop = stop_signal()?;
-    // Everything runs on the executor's one thread. Waiting for it without a
-    // reactor of its own keeps this thread from taking events away from it.
-    futures_lite::future::block_on(smol::spawn(entry_node::run(settings, stop)))
+    start(&args.settings, args.check, entry_node::run)
 }
--- a/lib/src/document.rs
+++ b/lib/src/document.rs
@@ -467,14 +467,9 @@
 
     /// Returns the deployment whose callers' key has the digest `key`.
     pub fn deployment_of(&self, key: &str) -> Option<(&Operator, &Deployment)> {
-        self.known.iter().find_map(|(operator, (_, document, _))| {
-            let fits = |(name, rules): (&'_ Deployment, &DeploymentRules)| {
-                let _ = name;
-                rules.key == key
-            };
-            let found = document.deployments.iter().find(|(n, r)| fits((n, r)))?;
-            Some((operator, found.0))
-        })
+        self.deployments()
+            .find(|(_, _, rules)| rules.key == key)
+            .map(|(operator, name, _)| (operator, name))
     }
 
     /// Returns what a backend server can do, by any operator's document.
--- a/lib/src/side.rs
+++ b/lib/src/side.rs
@@ -3,6 +3,7 @@
 //! copies of shards.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use crate::code::Code;
@@ -148,7 +149,7 @@
     queue: Queue<Key>,
     running: u32,
     tokens: u64,
-    peers: BTreeMap<NodeId, ()>,
+    peers: BTreeSet<NodeId>,
     /// When each program with cache on the server was heard of last.
     cached: BTreeMap<ProgramId, Time>,
     beat: Option<Time>,
@@ -170,7 +171,7 @@
             queue: Queue::default(),
             running: 0,
             tokens: 0,
-            peers: BTreeMap::new(),
+            peers: BTreeSet::new(),
             cached: BTreeMap::new(),
             beat: None,
             swept: Time::default(),
@@ -223,7 +224,7 @@
         match event {
             Event::Message { from, message } => self.message(now, &from, message, out),
             Event::LinkUp { node } => {
-                self.peers.insert(node.clone(), ());
+                self.peers.insert(node.clone());
                 self.send_beat(&node, out);
             }
             Event::LinkDown { node } => {
@@ -662,7 +663,7 @@
 
     fn leave(&mut self, now: Time, out: &mut Vec<Effect>) {
         self.leaving = true;
-        let peers: Vec<NodeId> = self.peers.keys().cloned().collect();
+        let peers: Vec<NodeId> = self.peers.iter().cloned().collect();
         for peer in peers {
             self.send_beat(&peer, out);
         }
@@ -700,7 +701,7 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.beat.is_none_or(|last| now.since(last) >= BEAT) {
             self.beat = Some(now);
-            let peers: Vec<NodeId> = self.peers.keys().cloned().collect();
+            let peers: Vec<NodeId> = self.peers.iter().cloned().collect();
             for peer in peers {
                 self.send_beat(&peer, out);
             }
--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -34,6 +34,7 @@
 use crate::links::LinkEvent;
 use crate::links::LinkTable;
 use crate::links::Links;
+use crate::links::PeerEvent;
 use crate::links::bind;
 use crate::metrics::Metrics;
 use crate::peer::Hello;
@@ -399,37 +400,20 @@
     }
 
     fn link(&mut self, event: LinkEvent) {
-        match event {
-            LinkEvent::Up {
-                node,
-                boot,
-                link,
-                sender,
-            } => {
-                if self.links.up(&node, link, sender) {
-                    self.step(Event::LinkDown { node: node.clone() });
-                }
-                self.step(Event::LinkUp { node, boot });
-            }
-            LinkEvent::Down { node, link, why } => {
-                if self.links.down(&node, link) {
+        for event in self.links.take(event) {
+            let event = match event {
+                PeerEvent::Up { node, boot } => Event::LinkUp { node, boot },
+                PeerEvent::Down { node, why } => {
                     let note = Note::new("link_down").with("peer", &node).with("why", why);
                     crate::log::note(self.handle.settings.common.node.as_str(), &note);
-                    self.step(Event::LinkDown { node });
-                }
-            }
-            LinkEvent::Message {
-                node,
-                link,
-                message,
-            } => {
-                if self.links.is_current(&node, link) {
-                    self.step(Event::Message {
-                        from: node,
-                        message,
-                    });
+                    Event::LinkDown { node }
                 }
-            }
+                PeerEvent::Message { node, message } => Event::Message {
+                    from: node,
+                    message,
+                },
+            };
+            self.step(event);
         }
     }
 
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod settings;
 pub mod side_node;
 pub mod signals;
+pub mod start;
 pub mod status;
 pub mod store;
 pub mod timeout;
--- a/net/src/links.rs
+++ b/net/src/links.rs
@@ -57,6 +57,32 @@
     },
 }
 
+/// What a link event means for the reducer.
+#[derive(Debug)]
+pub enum PeerEvent {
+    /// There is a link.
+    Up {
+        /// The other process.
+        node: NodeId,
+        /// Its life.
+        boot: Boot,
+    },
+    /// There is no link any more.
+    Down {
+        /// The other process.
+        node: NodeId,
+        /// Why.
+        why: String,
+    },
+    /// A message came.
+    Message {
+        /// The other process.
+        node: NodeId,
+        /// The message.
+        message: Message,
+    },
+}
+
 /// Makes and takes links for one process.
 pub struct Links {
     hello: Hello,
@@ -178,23 +204,41 @@
 }
 
 impl LinkTable {
-    /// Notes a link; returns whether it replaces an older one.
-    pub fn up(&mut self, node: &NodeId, link: u64, sender: async_channel::Sender<Message>) -> bool {
-        self.links.insert(node.clone(), (link, sender)).is_some()
-    }
-
-    /// Notes the loss of a link; returns whether it was the one in use.
-    pub fn down(&mut self, node: &NodeId, link: u64) -> bool {
-        let current = self.is_current(node, link);
-        if current {
-            self.links.remove(node);
+    /// Takes an event over and returns what it means for the reducer, in
+    /// order. What comes by a link that was replaced is dropped: it is from
+    /// before a loss, and what became of the work is asked anew.
+    pub fn take(&mut self, event: LinkEvent) -> Vec<PeerEvent> {
+        match event {
+            LinkEvent::Up {
+                node,
+                boot,
+                link,
+                sender,
+            } => {
+                let old = self.links.insert(node.clone(), (link, sender));
+                let why = "replaced by a newer one".to_owned();
+                let down = old.map(|_| PeerEvent::Down {
+                    node: node.clone(),
+                    why,
+                });
+                down.into_iter()
+                    .chain([PeerEvent::Up { node, boot }])
+                    .collect()
+            }
+            LinkEvent::Down { node, link, why } if self.is_current(&node, link) => {
+                self.links.remove(&node);
+                vec![PeerEvent::Down { node, why }]
+            }
+            LinkEvent::Message {
+                node,
+                link,
+                message,
+            } if self.is_current(&node, link) => vec![PeerEvent::Message { node, message }],
+            LinkEvent::Down { .. } | LinkEvent::Message { .. } => Vec::new(),
         }
-        current
     }
 
-    /// Returns whether `link` is the one in use; what comes by another is
-    /// from before a loss, and is dropped.
-    pub fn is_current(&self, node: &NodeId, link: u64) -> bool {
+    fn is_current(&self, node: &NodeId, link: u64) -> bool {
         self.links.get(node).is_some_and(|(id, _)| *id == link)
     }
 
--- a/net/src/settings.rs
+++ b/net/src/settings.rs
@@ -174,6 +174,9 @@
 pub trait Check: DeserializeOwned {
     /// Adds every fault to `faults`.
     fn check(&self, faults: &mut Vec<Fault>);
+
+    /// Returns what every process is told.
+    fn common(&self) -> &Common;
 }
 
 impl Check for EntrySettings {
@@ -198,12 +201,20 @@
             faults.push(Fault::new("limits", "give numbers above zero"));
         }
     }
+
+    fn common(&self) -> &Common {
+        &self.common
+    }
 }
 
 impl Check for SideSettings {
     fn check(&self, faults: &mut Vec<Fault>) {
         self.common.check(faults);
     }
+
+    fn common(&self) -> &Common {
+        &self.common
+    }
 }
 
 fn check_key(path: &str, key: &str, faults: &mut Vec<Fault>) {
--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -30,6 +30,7 @@
 use crate::links::LinkEvent;
 use crate::links::LinkTable;
 use crate::links::Links;
+use crate::links::PeerEvent;
 use crate::links::bind;
 use crate::metrics::Metrics;
 use crate::peer::Hello;
@@ -237,32 +238,16 @@
     }
 
     fn link(&mut self, event: LinkEvent) {
-        match event {
-            LinkEvent::Up {
-                node, link, sender, ..
-            } => {
-                if self.links.up(&node, link, sender) {
-                    self.step(Event::LinkDown { node: node.clone() });
-                }
-                self.step(Event::LinkUp { node });
-            }
-            LinkEvent::Down { node, link, .. } => {
-                if self.links.down(&node, link) {
-                    self.step(Event::LinkDown { node });
-                }
-            }
-            LinkEvent::Message {
-                node,
-                link,
-                message,
-            } => {
-                if self.links.is_current(&node, link) {
-                    self.step(Event::Message {
-                        from: node,
-                        message,
-                    });
-                }
-            }
+        for event in self.links.take(event) {
+            let event = match event {
+                PeerEvent::Up { node, .. } => Event::LinkUp { node },
+                PeerEvent::Down { node, .. } => Event::LinkDown { node },
+                PeerEvent::Message { node, message } => Event::Message {
+                    from: node,
+                    message,
+                },
+            };
+            self.step(event);
         }
     }
 
--- /dev/null
+++ b/net/src/start.rs
@@ -0,0 +1,38 @@
+//! What the programs do first: read settings, start logging, wait for a signal.
+
+use std::future::Future;
+use std::path::Path;
+
+use async_channel::Receiver;
+
+use crate::log;
+use crate::settings;
+use crate::settings::Check;
+use crate::signals::stop_signal;
+
+/// Reads the settings in `file` and runs a process with them until a signal
+/// stops it; with `check`, only checks them.
+///
+/// # Errors
+///
+/// Returns an error if the settings have faults, or that of the process.
+pub fn start<S, F>(
+    file: &Path,
+    check: bool,
+    run: impl FnOnce(S, Receiver<()>) -> F,
+) -> eyre::Result<()>
+where
+    S: Check,
+    F: Future<Output = eyre::Result<()>> + Send + 'static,
+{
+    let settings: S = settings::read(file)?;
+    if check {
+        println!("{}: no faults", file.display());
+        return Ok(());
+    }
+    log::init(&settings.common().log)?;
+    let stop = stop_signal()?;
+    // Everything runs on the executor's one thread. Waiting for it without a
+    // reactor of its own keeps this thread from taking events away from it.
+    futures_lite::future::block_on(smol::spawn(run(settings, stop)))
+}
--- a/net/tests/failures.rs
+++ b/net/tests/failures.rs
@@ -13,15 +13,6 @@
 
 const TRANSFER: &str = "/v1/tools/transfers/move";
 
-async fn open_program(site: &Site, entry: usize) -> String {
-    let got = site
-        .caller(entry)
-        .send("POST", "/v1/programs", &[], &Value::Null)
-        .await
-        .expect("the entry answers");
-    got.json()["id"].as_str().expect("an id").to_owned()
-}
-
 /// Sends a call through any of `entries`, again and again under its key, until
 /// it has an outcome that is final.
 async fn persist(site: &Site, entries: &[usize], program: &str, key: &str, path: &str) -> Got {
@@ -85,7 +76,7 @@
         }
         let mut programs = Vec::new();
         for index in 0..12 {
-            programs.push(open_program(&site, index % 3).await);
+            programs.push(site.open_program(index % 3).await);
         }
 
         let calls = programs.iter().enumerate().map(|(index, program)| {
@@ -123,7 +114,7 @@
 fn a_killed_side_process_leaves_an_honest_outcome() {
     smol::block_on(async {
         let mut site = Site::start_as(Mode::Processes, 2, 1, 1).await;
-        let program = open_program(&site, 0).await;
+        let program = site.open_program(0).await;
         site.services[0].set_rules(ServiceRules {
             delay_ms: 0,
             hang: true,
@@ -151,7 +142,7 @@
         let mut site = Site::start_as(Mode::Processes, 2, 1, 1).await;
         let mut programs = Vec::new();
         for _ in 0..8 {
-            programs.push(open_program(&site, 1).await);
+            programs.push(site.open_program(1).await);
         }
 
         site.process("entry-1").freeze();
@@ -174,7 +165,7 @@
 fn a_history_outlives_its_owner_and_its_keeper_in_turn() {
     smol::block_on(async {
         let mut site = Site::start_as(Mode::Processes, 2, 2, 2).await;
-        let program = open_program(&site, 0).await;
+        let program = site.open_program(0).await;
         let chat = "/v1/chat/completions";
 
         let first = persist(&site, &[0, 1], &program, "m1", chat).await;
@@ -221,7 +212,7 @@
         slow_engine(&site);
         let mut programs = Vec::new();
         for index in 0..20 {
-            programs.push(open_program(&site, index % 2).await);
+            programs.push(site.open_program(index % 2).await);
         }
         let body = json!({"model": "cask-7b", "stream": true, "max_tokens": 40,
                           "messages": [{"role": "user", "content": "hello"}]});
@@ -316,7 +307,7 @@
 fn calls_go_on_while_the_store_is_out() {
     smol::block_on(async {
         let site = Site::start(2, 1, 1).await;
-        let program = open_program(&site, 0).await;
+        let program = site.open_program(0).await;
 
         site.store.set_faults(StoreFaults {
             down: true,
@@ -324,7 +315,7 @@
         });
         let transfer = persist(&site, &[0, 1], &program, "t1", TRANSFER).await;
         let chat = persist(&site, &[1], &program, "m1", "/v1/chat/completions").await;
-        let opened = open_program(&site, 1).await;
+        let opened = site.open_program(1).await;
 
         assert_eq!([transfer.status, chat.status], [200, 200]);
         assert!(opened.starts_with("p-"));
@@ -408,7 +399,7 @@
     smol::block_on(async {
         let site = Site::start(2, 1, 0).await;
         slow_engine(&site);
-        let program = open_program(&site, 0).await;
+        let program = site.open_program(0).await;
         let headers = [
             ("limpetferry-program", program.as_str()),
             ("idempotency-key", "m1"),
@@ -448,7 +439,7 @@
             .send("POST", "/v1/config/patches", &[], &patch)
             .await;
         assert_eq!(applied.expect("an answer").status, 200);
-        let program = open_program(&site, 0).await;
+        let program = site.open_program(0).await;
         site.services[0].set_rules(ServiceRules {
             delay_ms: 0,
             hang: true,
--- a/net/tests/whole_path.rs
+++ b/net/tests/whole_path.rs
@@ -4,15 +4,6 @@
 use serde_json::Value;
 use serde_json::json;
 
-async fn open_program(site: &Site, entry: usize) -> String {
-    let got = site
-        .caller(entry)
-        .send("POST", "/v1/programs", &[], &Value::Null)
-        .await
-        .expect("the entry answers");
-    got.json()["id"].as_str().expect("an id").to_owned()
-}
-
 fn question(text: &str) -> Value {
     json!({"model": "cask-7b", "messages": [{"role": "user", "content": text}]})
 }
@@ -21,7 +12,7 @@
 fn a_program_runs_through_any_entry_in_order() {
     smol::block_on(async {
         let site = Site::start(2, 1, 1).await;
-        let program = open_program(&site, 0).await;
+        let program = site.open_program(0).await;
         let headers = [
             ("limpetferry-program", program.as_str()),
             ("limpetferry-history", "append"),
@@ -75,7 +66,7 @@
 fn the_same_key_gets_the_same_answer_and_runs_once() {
     smol::block_on(async {
         let site = Site::start(2, 1, 1).await;
-        let program = open_program(&site, 0).await;
+        let program = site.open_program(0).await;
         let headers = [
             ("limpetferry-program", program.as_str()),
             ("idempotency-key", "t1"),
--- a/side/src/main.rs
+++ b/side/src/main.rs
@@ -1,13 +1,10 @@
-//! Starts a side process: reads settings, starts logging, and waits for a signal.
+//! Starts a side process.
 
 use std::path::PathBuf;
 
 use clap::Parser;
-use limpetferry_net::log;
-use limpetferry_net::settings;
-use limpetferry_net::settings::SideSettings;
 use limpetferry_net::side_node;
-use limpetferry_net::signals::stop_signal;
+use limpetferry_net::start::start;
 
 /// Runs the limpetferry side process.
 #[derive(Parser)]
@@ -23,14 +20,5 @@
 
 fn main() -> eyre::Result<()> {
     let args = Args::parse();
-    let settings: SideSettings = settings::read(&args.settings)?;
-    if args.check {
-        println!("{}: no faults", args.settings.display());
-        return Ok(());
-    }
-    log::init(&settings.common.log)?;
-    let stop = stop_signal()?;
-    // Everything runs on the executor's one thread. Waiting for it without a
-    // reactor of its own keeps this thread from taking events away from it.
-    futures_lite::future::block_on(smol::spawn(side_node::run(settings, stop)))
+    start(&args.settings, args.check, side_node::run)
 }
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -308,6 +308,18 @@
         Caller::new(self.entries[index].operators, OPERATOR_KEY)
     }
 
+    /// Opens a program at the entry with `index` and returns its id.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the entry refuses.
+    pub async fn open_program(&self, index: usize) -> String {
+        let caller = self.caller(index);
+        let got = caller.send("POST", "/v1/programs", &[], &Value::Null).await;
+        let got = got.expect("the entry answers");
+        got.json()["id"].as_str().expect("an id").to_owned()
+    }
+
     /// Waits until every process has the document's `version` in force, as
     /// its metrics tell.
     pub async fn in_force_everywhere(&self, version: u64) {
