--- a/testutils/src/bin/limpetferry-load.rs
+++ b/testutils/src/bin/limpetferry-load.rs
@@ -40,6 +40,15 @@
         /// Tokens of each answer.
         #[arg(long, default_value_t = 1)]
         tokens: u64,
+        /// Time for each token, in microseconds.
+        #[arg(long, default_value_t = 0)]
+        token_us: u64,
+    },
+    /// Holds calls at the engine and reports the memory of each.
+    Waiting {
+        /// Calls at once; each needs some file descriptors.
+        #[arg(long, default_value_t = 400)]
+        count: usize,
     },
     /// Compares calls that the keeper must know of with calls that need none.
     Keeper {
@@ -156,10 +165,11 @@
     (all, start.elapsed())
 }
 
-async fn added(callers: usize, calls: usize, tokens: u64) {
+async fn added(callers: usize, calls: usize, tokens: u64, token_us: u64) {
     let mut site = Site::start_as(Mode::Processes, 1, 1, 0).await;
     let rules = EngineRules {
         tokens,
+        token_us,
         ..EngineRules::default()
     };
     site.engines[0].set_rules(rules);
@@ -250,6 +260,46 @@
     );
 }
 
+async fn waiting(count: usize) {
+    let mut site = Site::start_as(Mode::Processes, 1, 1, 0).await;
+    let slots = json!({"servers": {"engine-1": {"slots": 10_000}}});
+    let patch = json!({"id": "slots", "base": 1, "change": {"merge": slots}});
+    let _ = site
+        .operator(0)
+        .send("POST", "/v1/config/patches", &[], &patch)
+        .await;
+    site.in_force_everywhere(2).await;
+    let held = EngineRules {
+        hold: true,
+        ..EngineRules::default()
+    };
+    site.engines[0].set_rules(held);
+    let ids = [site.process("entry-1").id(), site.process("engine-1").id()];
+    let before = ids.map(memory);
+    let body = json!({"model": "cask-7b", "messages": [{"role": "user", "content": "hello"}]});
+    let callers: Vec<Caller> = (0..count).map(|_| site.caller(0)).collect();
+    let calls = futures_util::future::join_all(
+        callers
+            .iter()
+            .map(|caller| run(caller, 1, CHAT, &[], &body)),
+    );
+    let looking = async {
+        while site.engines[0].running() < count as u64 {
+            smol::Timer::after(Duration::from_millis(50)).await;
+        }
+        let after = ids.map(memory);
+        site.engines[0].set_rules(EngineRules::default());
+        after
+    };
+    let (times, after) = futures_lite::future::zip(calls, looking).await;
+    let answered: u64 = times.iter().map(Histogram::len).sum();
+    println!(
+        "waiting={count} answered={answered} entry_bytes_each={} side_bytes_each={}",
+        (after[0] - before[0]) / count as u64,
+        (after[1] - before[1]) / count as u64
+    );
+}
+
 async fn idle(entries: usize, sides: usize) {
     let mut site = Site::start_as(Mode::Processes, entries, sides, 0).await;
     smol::Timer::after(Duration::from_secs(3)).await;
@@ -567,7 +617,9 @@
                 callers,
                 calls,
                 tokens,
-            } => added(callers, calls, tokens).await,
+                token_us,
+            } => added(callers, calls, tokens, token_us).await,
+            Command::Waiting { count } => waiting(count).await,
             Command::Keeper { calls } => keeper(calls).await,
             Command::Programs { count, history } => programs(count, history).await,
             Command::Idle { sides, entries } => idle(entries, sides).await,
