owner: look a repeated call's program up by its id

Cause: the answer to a call sent again searched every program of the owner, although the request names it; three places derived a shard's epoch alike. Change: the program is looked up; epoch_of serves the three.

--- a/lib/src/ending.rs
+++ b/lib/src/ending.rs
@@ -9,7 +9,6 @@
 use crate::id::NodeId;
 use crate::id::Operator;
 use crate::id::ProgramId;
-use crate::id::ShardId;
 use crate::message::Change;
 use crate::message::Message;
 use crate::message::Reply;
@@ -49,9 +48,8 @@
                 self.refuse(cx, id, Refusal::new(code));
             }
             State::Running { server, .. } | State::Settling { server, .. } => {
-                let epoch = |shard: ShardId| self.shards.get(&shard).map(|h| (shard, h.epoch));
                 let message = Message::Cancel {
-                    shard: call.shard.and_then(epoch),
+                    shard: self.epoch_of(call.shard),
                     call: id,
                     attempt: call.record.attempt,
                 };
@@ -224,6 +222,7 @@
         &mut self,
         cx: &mut Context<'_>,
         watcher: &Watcher,
+        program: ProgramId,
         record: &CallRecord,
         offset: u64,
     ) {
@@ -236,8 +235,7 @@
         }
         let digest = self
             .programs
-            .values()
-            .find(|program| program.copy.record(record.call).is_some())
+            .get(&program)
             .map_or(Digest::default(), |program| program.copy.history.digest());
         reply(cx, watcher, ending(record, outcome, digest));
     }
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -269,6 +269,12 @@
         }
     }
 
+    /// Returns a call's shard with the epoch that its orders carry.
+    pub(crate) fn epoch_of(&self, shard: Option<ShardId>) -> Option<(ShardId, Epoch)> {
+        let shard = shard?;
+        self.shards.get(&shard).map(|held| (shard, held.epoch))
+    }
+
     /// Returns the number of calls under way.
     pub fn calls_open(&self) -> usize {
         self.calls.len()
--- a/lib/src/takeover.rs
+++ b/lib/src/takeover.rs
@@ -185,9 +185,8 @@
         else {
             return;
         };
-        let epoch = |shard: ShardId| self.shards.get(&shard).map(|held| (shard, held.epoch));
         let message = Message::Settle {
-            shard: call.shard.and_then(epoch),
+            shard: self.epoch_of(call.shard),
             boot: *boot,
             call: id,
             attempt: call.record.attempt,
--- a/lib/src/turn.rs
+++ b/lib/src/turn.rs
@@ -68,7 +68,9 @@
         }
         match self.first_number(cx, shard, &request) {
             Ok(Entrance::Fresh(number)) => self.enter(cx, shard, watcher, request, number),
-            Ok(Entrance::Known(record)) => self.answer_again(cx, &watcher, &record, offset),
+            Ok(Entrance::Known(record)) => {
+                self.answer_again(cx, &watcher, request.program, &record, offset)
+            }
             Err(refusal) => self.refuse_caller(cx, shard, watcher, refusal),
         }
     }
@@ -451,6 +453,10 @@
     /// Gives a call to the server that was chosen, now that its intent is
     /// safe.
     pub(crate) fn dispatch(&mut self, cx: &mut Context<'_>, id: CallId) {
+        let shard = self
+            .calls
+            .get(&id)
+            .and_then(|call| self.epoch_of(call.shard));
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -460,14 +466,13 @@
         let Some(request) = &call.request else {
             return;
         };
-        let epoch = |shard: ShardId| self.shards.get(&shard).map(|held| (shard, held.epoch));
         let program = self.programs.get(&call.program);
         let old = program.filter(|_| request.supply != Supply::Full);
         let turns = old
             .into_iter()
             .flat_map(|program| program.copy.history.turns());
         let order = Order {
-            shard: call.shard.and_then(epoch),
+            shard,
             boot,
             program: call.program,
             call: id,
