members: count a link that came before its registration

Cause: a start of a site that was answered 'settling' for ever. A link and a registration come by different ways, a link from the peer that dialled, a registration from the key-value service. Where the link was first, Members::link_up knew no such member and forgot it; the registration then made a member without a link. The entry had a working link and took the peer for silent for as long as the link lasted: it submitted nothing to it and held it for no keeper. Seen in the log of an entry that gave a caller up ('owner none, linked: entry-2 none') and, when the site ended, logged the loss of its link to entry-2.

Change: links to processes that are not known yet are held until their registration is read. A site whose test fails leaves its logs and says where.

--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -138,6 +138,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct Members {
     known: BTreeMap<NodeId, Member>,
+    /// Links to processes whose registration has not been read yet. A link
+    /// and a registration come by different ways, in either order.
+    early: BTreeMap<NodeId, Link>,
     /// Entries among them; counted, since each call asks.
     entries: u64,
 }
@@ -152,9 +155,10 @@
     }
 
     fn register_one(&mut self, now: Time, node: &Node) {
+        let early = self.early.remove(&node.id);
         let fresh = || Member {
             node: node.clone(),
-            link: Link::Down { since: now },
+            link: early.unwrap_or(Link::Down { since: now }),
             listed: Listed::Absent,
             leaving: false,
             drained: false,
@@ -186,15 +190,19 @@
 
     /// Notes that a link to `id`, in the life `boot`, was made.
     pub fn link_up(&mut self, now: Time, id: &NodeId, boot: Boot) {
-        if let Some(member) = self.known.get_mut(id) {
-            member.link = Link::Up { since: now, boot };
-            member.leaving = false;
-        }
+        let link = Link::Up { since: now, boot };
+        let Some(member) = self.known.get_mut(id) else {
+            self.early.insert(id.clone(), link);
+            return;
+        };
+        member.link = link;
+        member.leaving = false;
     }
 
     /// Notes that the link to `id` was lost.
     pub fn link_down(&mut self, now: Time, id: &NodeId) {
         let Some(member) = self.known.get_mut(id) else {
+            self.early.remove(id);
             return;
         };
         if let Link::Up { since, .. } = member.link {
--- /dev/null
+++ b/lib/tests/members.rs
@@ -0,0 +1,110 @@
+//! Who counts as being there, whatever order the news comes in.
+
+use std::time::Duration;
+
+use limpetferry_lib::effect::CallerKey;
+use limpetferry_lib::effect::Effect;
+use limpetferry_lib::entry::Entry;
+use limpetferry_lib::entry::Event;
+use limpetferry_lib::id::Boot;
+use limpetferry_lib::id::DataCentre;
+use limpetferry_lib::id::Epoch;
+use limpetferry_lib::id::NodeId;
+use limpetferry_lib::id::ProgramId;
+use limpetferry_lib::member::Members;
+use limpetferry_lib::member::Node;
+use limpetferry_lib::member::Role;
+use limpetferry_lib::message::Message;
+use limpetferry_lib::message::Request;
+use limpetferry_lib::rules::Rules;
+use limpetferry_lib::shard::Assignment;
+use limpetferry_lib::shard::Block;
+use limpetferry_lib::time::Time;
+
+fn node(name: &str, role: Role) -> Node {
+    Node {
+        id: NodeId::new(name),
+        role,
+        centre: DataCentre::new("osijek"),
+        address: "127.0.0.1:1".into(),
+        vm: format!("vm-{name}"),
+    }
+}
+
+fn at(millis: u64) -> Time {
+    Time::default() + Duration::from_millis(millis)
+}
+
+/// Returns the block of all shards, owned by `owner`.
+fn owned_by(owner: &str, shards: u16) -> Block {
+    let assignment = Assignment {
+        owner: Some(NodeId::new(owner)),
+        epoch: Epoch(1),
+        ..Assignment::default()
+    };
+    Block {
+        shards: vec![assignment; usize::from(shards)],
+    }
+}
+
+#[test]
+fn a_link_made_before_the_registration_was_read_counts() {
+    let peer = node("tool-1", Role::Side);
+    let mut members = Members::default();
+
+    members.link_up(at(0), &peer.id, Boot(7));
+    members.register(at(10), [&peer]);
+
+    assert_eq!(members.boot(&peer.id), Some(Boot(7)));
+    assert!(members.in_service(at(10), &peer.id));
+    assert!(!members.is_silent(at(5_000), &peer.id, Duration::from_secs(1)));
+}
+
+#[test]
+fn a_link_lost_before_the_registration_was_read_does_not_count() {
+    let peer = node("tool-1", Role::Side);
+    let mut members = Members::default();
+
+    members.link_up(at(0), &peer.id, Boot(7));
+    members.link_down(at(5), &peer.id);
+    members.register(at(10), [&peer]);
+
+    assert_eq!(members.boot(&peer.id), None);
+    assert!(!members.in_service(at(10), &peer.id));
+}
+
+#[test]
+fn a_request_goes_to_an_owner_whose_link_came_before_its_registration() {
+    let rules = Rules::default();
+    let shards = rules.shards;
+    let own = NodeId::new("entry-2");
+    let centre = DataCentre::new("osijek");
+    let mut entry = Entry::new(own, centre, Boot(2), rules, 1);
+    let mut out = Vec::new();
+    let owner = node("entry-1", Role::Entry);
+    let up = Event::LinkUp {
+        node: owner.id.clone(),
+        boot: Boot(1),
+    };
+    let block = Event::Block {
+        block: 0,
+        revision: 1,
+        value: owned_by("entry-1", shards),
+    };
+    entry.step(at(0), up, &mut out);
+    entry.step(at(1), Event::Registry(vec![owner.clone()]), &mut out);
+    entry.step(at(2), block, &mut out);
+    out.clear();
+
+    let ask = Event::Caller {
+        caller: CallerKey(1),
+        request: Request::Read(ProgramId { root: 1, leaf: 2 }),
+        offset: 0,
+    };
+    entry.step(at(3), ask, &mut out);
+
+    let submitted = out.iter().any(|effect| {
+        matches!(effect, Effect::Send { to, message: Message::Submit { .. } } if *to == owner.id)
+    });
+    assert!(submitted, "{out:?}");
+}
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -96,6 +96,11 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
+        if std::thread::panicking() && self.folder.exists() {
+            // The logs say what the processes did.
+            eprintln!("the site's settings and logs are in {}", self.folder.display());
+            return;
+        }
         let _ = std::fs::remove_dir_all(&self.folder);
     }
 }
