lib: let the world's links come before the registry

Change: the registry arrives like any answer of the key-value service, before or after the first links.

--- a/lib/tests/support/world.rs
+++ b/lib/tests/support/world.rs
@@ -212,9 +212,11 @@
         match process.node.role {
             Role::Entry => {
                 let centre = process.node.centre.clone();
-                let entry = Entry::new(id, centre, Boot(boot), self.rules.clone(), boot);
+                let entry = Entry::new(id.clone(), centre, Boot(boot), self.rules.clone(), boot);
                 process.reducer = Some(Reducer::Entry(Box::new(entry)));
-                self.entry_event(index, entry::Event::Registry(registry));
+                // Links may be made before the registry has been read.
+                let registered = entry::Event::Registry(registry);
+                self.store.answers.push((id, registered));
                 self.entry_event(index, entry::Event::Document(document));
                 self.entry_event(index, reading);
             }
