owner: refuse what waits for a keeper that cannot be had

Cause: an opening, a reading or an ending of a program waits for the keeper's word. Without any keeper, refusals were let go after alone_ms, these were put back into the queue, and their callers heard 'settling' after half a minute. calls_go_on_while_the_store_is_out met it, since the outage could begin before the last shard of the new site had its keeper.

Ruled out: a lost acknowledgement (lib/tests/alone.rs shows it without one).

Change: they are refused with no_keeper once the owner is stuck, which tells when to come back. The tests' site waits until every shard is kept; the metric limpetferry_shards_kept tells, and operators see it in the status too.

--- a/lib/src/keeping.rs
+++ b/lib/src/keeping.rs
@@ -208,8 +208,9 @@
 
     /// While no keeper answers and none can be chosen, lets idempotent calls
     /// without a program go on, and refuses to start others: what only one
-    /// process knows of a program would be lost with it. Calls that ran wait
-    /// for a keeper, since their end must not be told before it is safe.
+    /// process knows of a program would be lost with it. Who opens, reads or
+    /// ends a program is told to come back. Calls that ran wait for a keeper,
+    /// since their end must not be told before it is safe.
     pub(crate) fn go_on_alone(&mut self, cx: &mut Context<'_>) {
         let stuck: Vec<ShardId> = self
             .shards
@@ -251,10 +252,10 @@
                 call.state = State::Recording { outcome };
                 self.finish(cx, id);
             }
-            (Step::Refuse(watcher, _), _) => {
+            (Step::Refuse(watcher, _) | Step::Answer(watcher, ..), _) => {
                 reply(cx, &watcher, Reply::Refused(Refusal::new(Code::NoKeeper)));
             }
-            (step @ (Step::Finish(_) | Step::Answer(..)), _) => {
+            (step @ Step::Finish(_), _) => {
                 if let Some(held) = self.shards.get_mut(&shard) {
                     held.steps.push_back((seq, step));
                 }
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -167,6 +167,12 @@
         }
     }
 
+    /// Returns whether a keeper has everything that is known here.
+    fn is_kept(&self) -> bool {
+        let whole = self.phase == Phase::Whole && self.keeper.is_some();
+        whole && !self.gap && self.unkept.is_empty()
+    }
+
     /// Returns whether changes have waited too long for a keeper.
     pub(crate) fn is_stuck(&self, cx: &Context<'_>) -> bool {
         self.phase == Phase::Whole && self.unkept_for(cx.now) >= cx.rules.alone_wait()
@@ -285,6 +291,11 @@
         self.programs.len()
     }
 
+    /// Returns the number of shards whose keeper has everything.
+    pub fn shards_kept(&self) -> usize {
+        self.shards.values().filter(|held| held.is_kept()).count()
+    }
+
     /// Returns each program with its changing part.
     pub fn heads(&self) -> impl Iterator<Item = (ProgramId, &ProgramHead)> {
         self.programs.iter().map(|(id, p)| (*id, &p.copy.head))
--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -506,6 +506,7 @@
             .programs
             .set(self.entry.owner().programs_open() as i64);
         metrics.shards.set(self.entry.shards_held() as i64);
+        metrics.kept.set(self.entry.owner().shards_kept() as i64);
         metrics.links.set(self.links.len() as i64);
         metrics.store_calls.set(self.handle.store.calls() as i64);
     }
--- a/net/src/metrics.rs
+++ b/net/src/metrics.rs
@@ -41,6 +41,8 @@
     pub programs: IntGauge,
     /// Shards owned here.
     pub shards: IntGauge,
+    /// Shards owned here whose keeper has everything.
+    pub kept: IntGauge,
     /// Links to other processes.
     pub links: IntGauge,
     /// Calls to the key-value service so far.
@@ -84,6 +86,7 @@
             calls: gauge("calls_open", "Calls under way here")?,
             programs: gauge("programs_held", "Programs held here")?,
             shards: gauge("shards_owned", "Shards owned here")?,
+            kept: gauge("shards_kept", "Shards owned here whose keeper has all")?,
             links: gauge("links", "Links to other processes")?,
             store_calls: gauge("store_calls", "Calls to the key-value service so far")?,
             ready: Arc::default(),
--- a/net/src/status.rs
+++ b/net/src/status.rs
@@ -27,6 +27,7 @@
                 "node": node,
                 "version": entry.documents().version(&operator),
                 "shards_owned": entry.shards_held(),
+                "shards_kept": entry.owner().shards_kept(),
                 "callers_waiting": entry.front().len(),
                 "calls_open": entry.owner().calls_open(),
                 "programs": entry.owner().programs_open(),
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -98,7 +98,10 @@
     fn drop(&mut self) {
         if std::thread::panicking() && self.folder.exists() {
             // The logs say what the processes did.
-            eprintln!("the site's settings and logs are in {}", self.folder.display());
+            eprintln!(
+                "the site's settings and logs are in {}",
+                self.folder.display()
+            );
             return;
         }
         let _ = std::fs::remove_dir_all(&self.folder);
@@ -341,6 +344,18 @@
         }
     }
 
+    /// Waits until every shard has an owner, and a keeper that has all of it.
+    pub async fn whole(&self) {
+        eventually("every shard has its owner and its keeper", async || {
+            let mut kept = 0;
+            for entry in &self.entries {
+                kept += read_gauge(entry.metrics, "limpetferry_shards_kept").await;
+            }
+            kept == u64::from(self.rules.shards)
+        })
+        .await;
+    }
+
     /// Applies the first document and waits until calls are served.
     ///
     /// # Panics
@@ -364,9 +379,24 @@
             })
             .await;
         }
+        if !self.sides.is_empty() {
+            self.whole().await;
+        }
     }
 }
 
+/// Reads a metric without labels; zero if the process does not answer.
+pub async fn read_gauge(metrics: SocketAddr, name: &str) -> u64 {
+    let caller = Caller::new(metrics, "none");
+    let got = caller.send("GET", "/metrics", &[], &Value::Null).await;
+    let Ok(got) = got else { return 0 };
+    let text = String::from_utf8_lossy(&got.body).into_owned();
+    let lines = text.lines().filter_map(|line| line.split_once(' '));
+    let found = lines.filter(|(key, _)| *key == name);
+    let mut values = found.filter_map(|(_, value)| value.parse().ok());
+    values.next().unwrap_or(0)
+}
+
 /// Waits until `check` holds; gives up after a long time only, so that the
 /// verdict does not depend on the machine's speed.
 ///
