copies: let keepers have their copies again after a restart

Change: a side process with a data folder appends each change to a file before it acknowledges it, reads it in its next life, and gives up what another run of the machine wrote.

Before: a_history_outlives_its_owner_and_its_keeper_killed_together fails with program_unknown (seen red with the folder left out).

--- a/lib/src/effect.rs
+++ b/lib/src/effect.rs
@@ -3,6 +3,7 @@
 use crate::id::CallId;
 use crate::id::NodeId;
 use crate::id::ProgramId;
+use crate::keeper::CopyRecord;
 use crate::message::Message;
 use crate::message::Reply;
 use crate::program::Target;
@@ -98,6 +99,9 @@
         /// The program.
         program: ProgramId,
     },
+    /// Stores a change of the copies, before the effects that follow: they
+    /// tell others that it is safe.
+    Store(Box<CopyRecord>),
     /// Logs what happened.
     Note(Note),
 }
--- a/lib/src/keeper.rs
+++ b/lib/src/keeper.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::history::HistoryError;
 use crate::id::Epoch;
 use crate::id::ProgramId;
@@ -11,14 +14,52 @@
 use crate::program::ProgramCopy;
 
 /// The copy of one shard.
-#[derive(Clone, Debug, Default)]
-struct Kept {
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Kept {
     epoch: Epoch,
     complete: bool,
     seq: u64,
     programs: BTreeMap<ProgramId, ProgramCopy>,
 }
 
+/// One change of the copies, as a data folder stores it. Handling a stored
+/// run of them again leads to the same copies.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CopyRecord {
+    /// A change of the owner was taken.
+    Keep {
+        /// The shard.
+        shard: ShardId,
+        /// The owner's epoch.
+        epoch: Epoch,
+        /// Number of the change.
+        seq: u64,
+        /// The change.
+        change: Change,
+    },
+    /// The copy was handed to an owner.
+    Adopt {
+        /// The shard.
+        shard: ShardId,
+        /// The owner's epoch.
+        epoch: Epoch,
+        /// Epoch at which this keeper was chosen.
+        chosen: Epoch,
+    },
+    /// Another process keeps the shard now.
+    Drop {
+        /// The shard.
+        shard: ShardId,
+    },
+    /// The copy as it stands, which replaces what was there.
+    Whole {
+        /// The shard.
+        shard: ShardId,
+        /// The copy.
+        kept: Kept,
+    },
+}
+
 /// The copies that a side process holds, and the epochs that it has heard of.
 #[derive(Clone, Debug, Default)]
 pub struct Keeper {
@@ -120,10 +161,52 @@
         Ok(Some((kept.seq, kept.programs.values().cloned().collect())))
     }
 
-    /// Drops the copies of shards that `is_ours` says another keeps now.
-    pub fn drop_others(&mut self, is_ours: impl Fn(ShardId, Epoch) -> bool) {
-        self.shards
-            .retain(|shard, kept| is_ours(*shard, kept.epoch));
+    /// Drops the copies of shards that `is_ours` says another keeps now, and
+    /// returns those shards.
+    pub fn drop_others(&mut self, is_ours: impl Fn(ShardId, Epoch) -> bool) -> Vec<ShardId> {
+        let others = self.shards.iter().filter(|(s, k)| !is_ours(**s, k.epoch));
+        let dropped: Vec<ShardId> = others.map(|(shard, _)| *shard).collect();
+        for shard in &dropped {
+            self.shards.remove(shard);
+        }
+        dropped
+    }
+
+    /// Returns the copies as the fewest records that lead to them.
+    pub fn records(&self) -> impl Iterator<Item = CopyRecord> {
+        self.shards.iter().map(|(shard, kept)| CopyRecord::Whole {
+            shard: *shard,
+            kept: kept.clone(),
+        })
+    }
+
+    /// Handles a record again that an earlier life of the process stored.
+    pub fn replay(&mut self, record: CopyRecord) {
+        // A record was stored because it was taken; none is refused now.
+        match record {
+            CopyRecord::Keep {
+                shard,
+                epoch,
+                seq,
+                change,
+            } => {
+                let _ = self.keep(shard, epoch, seq, change);
+            }
+            CopyRecord::Adopt {
+                shard,
+                epoch,
+                chosen,
+            } => {
+                let _ = self.adopt(shard, epoch, chosen);
+            }
+            CopyRecord::Drop { shard } => {
+                self.shards.remove(&shard);
+            }
+            CopyRecord::Whole { shard, kept } => {
+                self.raise(shard, kept.epoch);
+                self.shards.insert(shard, kept);
+            }
+        }
     }
 
     /// Checks the digest chain of every history.
--- a/lib/src/owner.rs
+++ b/lib/src/owner.rs
@@ -317,10 +317,10 @@
             .collect();
         for shard in shards {
             self.ask_copy(cx, shard);
-            if let Some(held) = self.shards.get(&shard) {
-                if held.phase == Phase::Whole {
-                    self.resend_unkept(cx, shard, held);
-                }
+            if let Some(held) = self.shards.get(&shard)
+                && held.phase == Phase::Whole
+            {
+                self.resend_unkept(cx, shard, held);
             }
         }
         let mut asked = Vec::new();
@@ -352,15 +352,15 @@
         let now = cx.now;
         let limit = now + cx.rules.settle_wait();
         for (id, call) in &mut self.calls {
-            if let State::Running { server, boot } = &call.state {
-                if server == node {
-                    call.state = State::Settling {
-                        server: server.clone(),
-                        boot: *boot,
-                        since: now,
-                    };
-                    self.timers.insert((limit, *id));
-                }
+            if let State::Running { server, boot } = &call.state
+                && server == node
+            {
+                call.state = State::Settling {
+                    server: server.clone(),
+                    boot: *boot,
+                    since: now,
+                };
+                self.timers.insert((limit, *id));
             }
             call.watchers.retain(|watcher| watcher.node != *node);
         }
--- a/lib/src/side.rs
+++ b/lib/src/side.rs
@@ -18,9 +18,11 @@
 use crate::id::NodeId;
 use crate::id::ProgramId;
 use crate::id::ShardId;
+use crate::keeper::CopyRecord;
 use crate::keeper::Keeper;
 use crate::member::Load;
 use crate::message::Beat;
+use crate::message::Change;
 use crate::message::Message;
 use crate::message::Order;
 use crate::message::OrderFault;
@@ -145,6 +147,8 @@
     map: ShardMap,
     documents: Documents,
     keeper: Keeper,
+    /// Whether changes of the copies are stored.
+    stores: bool,
     records: BTreeMap<Key, Record>,
     queue: Queue<Key>,
     running: u32,
@@ -167,6 +171,7 @@
             rules,
             documents: Documents::default(),
             keeper: Keeper::default(),
+            stores: false,
             records: BTreeMap::new(),
             queue: Queue::default(),
             running: 0,
@@ -179,6 +184,16 @@
         }
     }
 
+    /// Takes over the copies that an earlier life stored, and stores every
+    /// change from now on. A copy is of use only if it lacks nothing that was
+    /// acknowledged.
+    pub fn recover(&mut self, records: impl IntoIterator<Item = CopyRecord>) {
+        self.stores = true;
+        for record in records {
+            self.keeper.replay(record);
+        }
+    }
+
     /// Returns the second copies that it holds.
     pub fn keeper(&self) -> &Keeper {
         &self.keeper
@@ -234,7 +249,7 @@
                 block,
                 revision,
                 value,
-            } => self.learn(block, revision, &value),
+            } => self.learn(block, revision, &value, out),
             Event::BackendChunk {
                 call,
                 attempt,
@@ -257,7 +272,7 @@
                 block,
                 revision,
                 value,
-            } => self.learn(block, revision, &value),
+            } => self.learn(block, revision, &value, out),
             Message::Adopt {
                 shard,
                 epoch,
@@ -268,17 +283,7 @@
                 epoch,
                 seq,
                 change,
-            } => {
-                let message = match self.keeper.keep(shard, epoch, seq, change) {
-                    Ok(seq) => Message::Kept { shard, epoch, seq },
-                    Err(fault) => Message::KeepRefused {
-                        shard,
-                        epoch,
-                        fault,
-                    },
-                };
-                send(from, message, out);
-            }
+            } => self.keep(from, shard, epoch, seq, change, out),
             Message::Order(order) => self.order(now, from, order, out),
             Message::Settle {
                 shard,
@@ -308,18 +313,66 @@
         }
     }
 
-    fn learn(&mut self, block: u16, revision: u64, value: &Block) {
+    fn learn(&mut self, block: u16, revision: u64, value: &Block, out: &mut Vec<Effect>) {
         for shard in self.map.update(block, revision, value) {
             if let Some(assignment) = self.map.get(shard) {
                 self.keeper.raise(shard, assignment.epoch);
             }
         }
         let (map, node) = (&self.map, &self.node);
-        self.keeper.drop_others(|shard, epoch| {
+        let dropped = self.keeper.drop_others(|shard, epoch| {
             map.get(shard).is_none_or(|assignment| {
                 assignment.keeper.as_ref() == Some(node) || epoch > assignment.epoch
             })
         });
+        for shard in dropped {
+            self.store(|| CopyRecord::Drop { shard }, out);
+        }
+    }
+
+    /// Has a change of the copies stored, if there is a place for it.
+    fn store(&self, record: impl FnOnce() -> CopyRecord, out: &mut Vec<Effect>) {
+        if self.stores {
+            out.push(Effect::Store(Box::new(record())));
+        }
+    }
+
+    /// Takes a change of a shard's owner; it is stored before it is
+    /// acknowledged.
+    fn keep(
+        &mut self,
+        from: &NodeId,
+        shard: ShardId,
+        epoch: Epoch,
+        seq: u64,
+        change: Change,
+        out: &mut Vec<Effect>,
+    ) {
+        let copy = self.stores.then(|| change.clone());
+        let message = match self.keeper.keep(shard, epoch, seq, change) {
+            Ok(kept) => {
+                if let Some(change) = copy {
+                    let record = || CopyRecord::Keep {
+                        shard,
+                        epoch,
+                        seq,
+                        change,
+                    };
+                    self.store(record, out);
+                }
+                Message::Kept {
+                    shard,
+                    epoch,
+                    seq: kept,
+                }
+            }
+            Err(fault) => Message::KeepRefused {
+                shard,
+                epoch,
+                fault,
+            },
+        };
+        send(from, message, out);
     }
 
     fn adopt(
@@ -340,6 +393,12 @@
                 send(from, message, out);
             }
             Ok(found) => {
+                let record = || CopyRecord::Adopt {
+                    shard,
+                    epoch,
+                    chosen,
+                };
+                self.store(record, out);
                 let (seq, copies) = match found {
                     Some((seq, copies)) => (Some(seq), copies),
                     None => (None, Vec::new()),
--- a/lib/src/submission.rs
+++ b/lib/src/submission.rs
@@ -46,12 +46,12 @@
             node: from.clone(),
             ticket,
         };
-        if let Request::Call(call) = &request {
-            if is_free(call) {
-                let Request::Call(call) = request else { return };
-                self.accept_call(cx, None, watcher, call, offset);
-                return;
-            }
+        if let Request::Call(call) = &request
+            && is_free(call)
+        {
+            let Request::Call(call) = request else { return };
+            self.accept_call(cx, None, watcher, call, offset);
+            return;
         }
         let shard = request.program().shard(cx.rules.shards);
         let Some(held) = self.shards.get_mut(&shard) else {
--- a/lib/src/takeover.rs
+++ b/lib/src/takeover.rs
@@ -80,13 +80,12 @@
     }
 
     pub(crate) fn copy(&mut self, from: &NodeId, shard: ShardId, epoch: Epoch, copy: ProgramCopy) {
-        if let Some(held) = self.shards.get_mut(&shard) {
-            if held.epoch == epoch
-                && held.keeper.as_ref() == Some(from)
-                && held.phase == Phase::Adopting
-            {
-                held.incoming.insert(copy.program, copy);
-            }
+        if let Some(held) = self.shards.get_mut(&shard)
+            && held.epoch == epoch
+            && held.keeper.as_ref() == Some(from)
+            && held.phase == Phase::Adopting
+        {
+            held.incoming.insert(copy.program, copy);
         }
     }
 
--- a/lib/src/turn.rs
+++ b/lib/src/turn.rs
@@ -293,11 +293,11 @@
         history
             .verify()
             .map_err(|error| Refusal::with(Code::HistoryMismatch, error.to_string()))?;
-        if let Supply::Append(Some(digest)) = request.supply {
-            if digest != history.digest() {
-                let detail = format!("the history has {}", history.digest());
-                return Err(Refusal::with(Code::HistoryMismatch, detail));
-            }
+        if let Supply::Append(Some(digest)) = request.supply
+            && digest != history.digest()
+        {
+            let detail = format!("the history has {}", history.digest());
+            return Err(Refusal::with(Code::HistoryMismatch, detail));
         }
         if cx
             .documents
--- a/lib/tests/promises.rs
+++ b/lib/tests/promises.rs
@@ -16,6 +16,9 @@
 /// Runs in CI; a longer run sets `LIMPETFERRY_RUNS`.
 const RUNS: u32 = 150;
 
+/// Tries to make a failed run shorter; some take minutes.
+const SHRINK: u64 = 300;
+
 fn number(name: &str, default: u64) -> u64 {
     let value = std::env::var(name).ok();
     value.and_then(|text| text.parse().ok()).unwrap_or(default)
@@ -40,7 +43,7 @@
     let config = Config {
         cases: runs,
         failure_persistence: None,
-        max_shrink_iters: 3_000,
+        max_shrink_iters: number("LIMPETFERRY_SHRINK", SHRINK) as u32,
         ..Config::default()
     };
     let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &bytes);
--- a/lib/tests/support/world.rs
+++ b/lib/tests/support/world.rs
@@ -14,6 +14,7 @@
 use limpetferry_lib::id::Epoch;
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::id::ShardId;
+use limpetferry_lib::keeper::CopyRecord;
 use limpetferry_lib::member::Node;
 use limpetferry_lib::member::Role;
 use limpetferry_lib::message::Message;
@@ -43,6 +44,8 @@
 const TRACED: usize = 4_000;
 const ENTRIES: usize = 3;
 const SIDES: usize = 3;
+/// Side processes that have a data folder.
+const STORING: usize = 2;
 const PROGRAMS: usize = 6;
 
 enum Reducer {
@@ -55,6 +58,8 @@
     life: u64,
     reducer: Option<Reducer>,
     paused: bool,
+    /// What it stored, if it is one that has a data folder.
+    disk: Vec<CopyRecord>,
 }
 
 /// The world.
@@ -169,6 +174,7 @@
             life: 0,
             reducer: None,
             paused: false,
+            disk: Vec::new(),
         });
     }
 
@@ -221,7 +227,10 @@
                 self.entry_event(index, reading);
             }
             Role::Side => {
-                let side = Side::new(id, Boot(boot), self.rules.clone());
+                let mut side = Side::new(id, Boot(boot), self.rules.clone());
+                if index >= ENTRIES + SIDES - STORING {
+                    side.recover(process.disk.iter().cloned());
+                }
                 process.reducer = Some(Reducer::Side(Box::new(side)));
                 if let entry::Event::Block {
                     block,
@@ -334,6 +343,7 @@
                 Effect::Release { program } => {
                     self.backends.caches.remove(&(id.clone(), program));
                 }
+                Effect::Store(record) => self.processes[index].disk.push(*record),
                 Effect::Note(_) => {}
             }
         }
@@ -565,10 +575,10 @@
         let Some(key) = keys.get(usize::from(pick) % keys.len().max(1)) else {
             return;
         };
-        if let Some(waiting) = self.callers.waiting.remove(key) {
-            if let Some(index) = self.index_of(&waiting.entry.0) {
-                self.entry_event(index, entry::Event::CallerGone(*key));
-            }
+        if let Some(waiting) = self.callers.waiting.remove(key)
+            && let Some(index) = self.index_of(&waiting.entry.0)
+        {
+            self.entry_event(index, entry::Event::CallerGone(*key));
         }
     }
 
--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -304,10 +304,10 @@
                     break;
                 }
             }
-            if let Some(since) = stopping {
-                if self.may_stop(since, limit) {
-                    return;
-                }
+            if let Some(since) = stopping
+                && self.may_stop(since, limit)
+            {
+                return;
             }
         }
     }
@@ -369,10 +369,10 @@
     fn take(&mut self, got: Got) {
         match got {
             Got::Input(Input::Event(event)) => {
-                if let Event::CallerGone(caller) = &event {
-                    if self.callers.remove(caller).is_none() {
-                        return;
-                    }
+                if let Event::CallerGone(caller) = &event
+                    && self.callers.remove(caller).is_none()
+                {
+                    return;
                 }
                 self.step(event);
             }
@@ -457,7 +457,10 @@
                 crate::log::note(self.handle.settings.common.node.as_str(), &note);
             }
             // For side processes only.
-            Effect::Start { .. } | Effect::Abort { .. } | Effect::Release { .. } => {}
+            Effect::Start { .. }
+            | Effect::Abort { .. }
+            | Effect::Release { .. }
+            | Effect::Store(_) => {}
         }
     }
 
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod backend;
 pub mod callers;
 pub mod clock;
+pub mod copies;
 pub mod entry_node;
 pub mod http;
 pub mod keys;
--- a/net/src/links.rs
+++ b/net/src/links.rs
@@ -248,10 +248,10 @@
     /// Sends a message, if there is a link. A link that cannot keep up is
     /// closed: it is made anew, and what became of the work is asked.
     pub fn send(&mut self, to: &NodeId, message: Message) {
-        if let Some((_, sender)) = self.links.get(to) {
-            if sender.len() >= peer::MAX_WAITING || sender.try_send(message).is_err() {
-                sender.close();
-            }
+        if let Some((_, sender)) = self.links.get(to)
+            && (sender.len() >= peer::MAX_WAITING || sender.try_send(message).is_err())
+        {
+            sender.close();
         }
     }
 
--- a/net/src/registration.rs
+++ b/net/src/registration.rs
@@ -55,10 +55,10 @@
         }
         // A lapsed lease took the registration along: write it again. The
         // boot number stays the one of this life.
-        if let Ok(false) = store.renew(lease).await {
-            if let Ok((new, _)) = write(&*store, &node).await {
-                lease = new;
-            }
+        if let Ok(false) = store.renew(lease).await
+            && let Ok((new, _)) = write(&*store, &node).await
+        {
+            lease = new;
         }
     }
 }
--- a/net/src/settings.rs
+++ b/net/src/settings.rs
@@ -160,6 +160,35 @@
     pub limits: CallerLimits,
 }
 
+/// A folder on the VM's disk for bulk data.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DataSettings {
+    /// The folder; it exists.
+    pub folder: PathBuf,
+    /// Most megabytes that the process stores there.
+    #[serde(rename = "max_mb", default = "default_data")]
+    pub most: u64,
+}
+
+fn default_data() -> u64 {
+    1_024
+}
+
+impl DataSettings {
+    fn check(&self, faults: &mut Vec<Fault>) {
+        if !self.folder.is_dir() {
+            faults.push(Fault::new(
+                "data.folder",
+                "name a folder that exists, or leave data out on a VM without a disk",
+            ));
+        }
+        if self.most == 0 {
+            faults.push(Fault::new("data.max_mb", "give a number above zero"));
+        }
+    }
+}
+
 /// Settings of a side process.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -168,6 +197,9 @@
     pub common: Common,
     /// Address of the backend server.
     pub server: SocketAddr,
+    /// Where copies of programs are stored, on a VM that has a disk.
+    #[serde(default)]
+    pub data: Option<DataSettings>,
 }
 
 /// Settings that can be checked.
@@ -210,6 +242,9 @@
 impl Check for SideSettings {
     fn check(&self, faults: &mut Vec<Fault>) {
         self.common.check(faults);
+        if let Some(data) = &self.data {
+            data.check(faults);
+        }
     }
 
     fn common(&self) -> &Common {
--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -15,6 +15,7 @@
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::CallId;
 use limpetferry_lib::id::ProgramId;
+use limpetferry_lib::keeper::CopyRecord;
 use limpetferry_lib::member::Node;
 use limpetferry_lib::member::Role;
 use limpetferry_lib::shard::BLOCK_SHARDS;
@@ -23,6 +24,12 @@
 
 use crate::backend::Backend;
 use crate::clock::Clock;
+use crate::copies::CopyError;
+use crate::copies::CopyStore;
+use crate::copies::FileCopies;
+use crate::copies::Found;
+use crate::copies::NoCopies;
+use crate::copies::machine_run;
 use crate::entry_node::block_event;
 use crate::http::Bounds;
 use crate::http::serve;
@@ -50,6 +57,8 @@
     connections: 64,
     head: 8_192,
 };
+/// Exit code when stale copies cannot be removed.
+const EXIT_COPIES: i32 = 4;
 /// Tries of a release that the server does not confirm.
 const RELEASE_TRIES: u32 = 5;
 
@@ -58,10 +67,11 @@
 ///
 /// # Errors
 ///
-/// Returns an error if an address is taken.
+/// Returns an error if an address is taken, or the data folder cannot be used.
 pub async fn run(settings: SideSettings, stop: Receiver<()>) -> eyre::Result<()> {
     let common = &settings.common;
     let metrics = Metrics::new().wrap_err("cannot make the metrics")?;
+    let (copies, found) = open_copies(&settings)?;
     let peers = bind("common.peers", common.peers).await?;
     let health = bind("common.metrics", common.metrics).await?;
     let (end, ended) = async_channel::bounded::<()>(1);
@@ -76,6 +86,7 @@
     };
     let boot = register(store.clone(), &node, ended).await;
     let mut task = Task::new(&settings, boot, metrics.clone(), store.clone());
+    task.recover(copies, found);
     // What an earlier life knew of epochs is read before any order is taken.
     task.read_blocks().await;
     let hello = Hello {
@@ -95,6 +106,16 @@
     Ok(())
 }
 
+/// Opens the file of copies, if the VM has a disk for it.
+fn open_copies(settings: &SideSettings) -> eyre::Result<(Box<dyn CopyStore>, Option<Found>)> {
+    let Some(data) = &settings.data else {
+        return Ok((Box::new(NoCopies), None));
+    };
+    let run = machine_run().wrap_err("cannot tell this run of the machine from others")?;
+    let (copies, found) = FileCopies::open(data, &settings.common.node, &run)?;
+    Ok((Box::new(copies), Some(found)))
+}
+
 enum Got {
     Link(LinkEvent),
     Backend(Event),
@@ -110,6 +131,7 @@
     links: LinkTable,
     metrics: Metrics,
     store: Arc<dyn Store>,
+    copies: Box<dyn CopyStore>,
     running: HashMap<(CallId, u64), smol::Task<()>>,
     ends: Sender<Event>,
     ends_in: Receiver<Event>,
@@ -127,12 +149,55 @@
             links: LinkTable::default(),
             metrics,
             store,
+            copies: Box::new(NoCopies),
             running: HashMap::new(),
             ends,
             ends_in,
         }
     }
 
+    /// Takes over what an earlier life stored in the data folder.
+    fn recover(&mut self, copies: Box<dyn CopyStore>, found: Option<Found>) {
+        self.copies = copies;
+        let Some(found) = found else { return };
+        let note = Note::new("copies_found")
+            .with("records", found.records.len())
+            .with("torn_bytes", found.torn)
+            .with("given_up", found.stale);
+        self.side.recover(found.records);
+        self.note(&note.with("programs", self.side.keeper().programs()));
+    }
+
+    /// Stores a change of the copies. Where that fails the copies stay in
+    /// memory only, and what is in the folder is removed: it would be found
+    /// as if it lacked nothing.
+    fn store_copy(&mut self, record: &CopyRecord) {
+        let mut stored = self.copies.append(record);
+        let full = matches!(stored, Err(CopyError::Full(..)));
+        if full || stored.is_ok() && self.copies.has_grown() {
+            // The copies as they stand have the change in them.
+            let keeper = self.side.keeper();
+            stored = self.copies.rewrite(&mut keeper.records());
+        }
+        if let Err(error) = stored {
+            self.give_up_copies(&error);
+        }
+    }
+
+    fn give_up_copies(&mut self, why: &CopyError) {
+        self.note(&Note::new("copies_given_up").with("why", why));
+        if let Err(error) = self.copies.clear() {
+            // Nothing else keeps a later life from handing out a stale copy.
+            self.note(&Note::new("copies_left").with("why", &error));
+            std::process::exit(EXIT_COPIES);
+        }
+        self.copies = Box::new(NoCopies);
+    }
+
+    fn note(&self, note: &Note) {
+        crate::log::note(self.settings.common.node.as_str(), note);
+    }
+
     async fn read_blocks(&mut self) {
         let blocks = self.settings.common.rules.shards.div_ceil(BLOCK_SHARDS);
         let items = loop {
@@ -180,10 +245,10 @@
                     self.step(Event::Leave);
                 }
             }
-            if let Some(since) = stopping {
-                if self.may_stop(since, limit) {
-                    return;
-                }
+            if let Some(since) = stopping
+                && self.may_stop(since, limit)
+            {
+                return;
             }
         }
     }
@@ -296,6 +361,7 @@
             }
             Effect::Release { program } => self.release(program),
             Effect::Note(note) => crate::log::note(self.settings.common.node.as_str(), &note),
+            Effect::Store(record) => self.store_copy(&record),
             // For entries only.
             Effect::Chunk { .. }
             | Effect::Finish { .. }
--- a/net/tests/failures.rs
+++ b/net/tests/failures.rs
@@ -11,6 +11,7 @@
 use serde_json::Value;
 use serde_json::json;
 
+const CHAT: &str = "/v1/chat/completions";
 const TRANSFER: &str = "/v1/tools/transfers/move";
 
 /// Sends a call through any of `entries`, again and again under its key, until
@@ -45,6 +46,16 @@
     panic!("{key} never ended");
 }
 
+/// Returns the names of a program's owner and keeper.
+fn holders(site: &Site, program: &str) -> (String, String) {
+    let block = site.store.get("limpetferry/shards/00000");
+    let block: Value = serde_json::from_str(&block.expect("shards are assigned")).expect("a block");
+    let root = u64::from_str_radix(&program[2..18], 16).expect("a root");
+    let shard = &block["shards"][(root % u64::from(site.rules.shards)) as usize];
+    let name = |role: &str| shard[role].as_str().expect("there is one").to_owned();
+    (name("owner"), name("keeper"))
+}
+
 fn most_runs(site: &Site) -> u64 {
     let runs = site
         .services
@@ -166,24 +177,13 @@
     smol::block_on(async {
         let mut site = Site::start_as(Mode::Processes, 2, 2, 2).await;
         let program = site.open_program(0).await;
-        let chat = "/v1/chat/completions";
 
-        let first = persist(&site, &[0, 1], &program, "m1", chat).await;
+        let first = persist(&site, &[0, 1], &program, "m1", CHAT).await;
         site.process("entry-1").kill();
-        let second = persist(&site, &[1], &program, "m2", chat).await;
-        let block = site
-            .store
-            .get("limpetferry/shards/00000")
-            .expect("shards are assigned");
-        let block: Value = serde_json::from_str(&block).expect("a block");
-        let root = u64::from_str_radix(&program[2..18], 16).expect("a root");
-        let shard = (root % 64) as usize;
-        let keeper = block["shards"][shard]["keeper"]
-            .as_str()
-            .expect("a keeper")
-            .to_owned();
+        let second = persist(&site, &[1], &program, "m2", CHAT).await;
+        let (_, keeper) = holders(&site, &program);
         site.process(&keeper).kill();
-        let third = persist(&site, &[1], &program, "m3", chat).await;
+        let third = persist(&site, &[1], &program, "m3", CHAT).await;
         let read = site
             .caller(1)
             .send("GET", &format!("/v1/programs/{program}"), &[], &Value::Null)
@@ -204,6 +204,36 @@
     });
 }
 
+#[test]
+fn a_history_outlives_its_owner_and_its_keeper_killed_together() {
+    smol::block_on(async {
+        let mut site = Site::start_stored(2, 1, 1).await;
+        let program = site.open_program(0).await;
+        let first = persist(&site, &[0, 1], &program, "m1", CHAT).await;
+        let moved = persist(&site, &[0, 1], &program, "t1", TRANSFER).await;
+        assert_eq!([first.status, moved.status], [200, 200]);
+
+        let (owner, keeper) = holders(&site, &program);
+        let survivor = usize::from(owner == "entry-1");
+
+        site.process(&owner).kill();
+        site.process(&keeper).kill();
+        site.start_side(&keeper);
+        let again = persist(&site, &[survivor], &program, "t1", TRANSFER).await;
+        let next = persist(&site, &[survivor], &program, "m2", CHAT).await;
+        let path = format!("/v1/programs/{program}");
+        let caller = site.caller(survivor);
+        let read = caller.send("GET", &path, &[], &Value::Null).await;
+
+        assert_eq!(again.status, 200, "{again:?}");
+        assert_eq!(again.body, moved.body);
+        assert_eq!(next.status, 200, "{next:?}");
+        assert_eq!(most_runs(&site), 1);
+        let history = read.expect("an answer").json()["messages"].clone();
+        assert_eq!(history.as_array().map(Vec::len), Some(4), "{history}");
+    });
+}
+
 #[test]
 fn a_planned_stop_cuts_off_no_stream() {
     smol::block_on(async {
@@ -221,9 +251,7 @@
             let (caller, body) = (site.caller(0), &body);
             async move {
                 let headers = [("limpetferry-program", program.as_str())];
-                caller
-                    .send("POST", "/v1/chat/completions", &headers, body)
-                    .await
+                caller.send("POST", CHAT, &headers, body).await
             }
         });
         let stopping = async {
@@ -260,11 +288,7 @@
         let body = json!({"model": "cask-7b", "messages": [{"role": "user", "content": "hello"}]});
         let call = || {
             let (caller, body) = (site.caller(0), body.clone());
-            async move {
-                caller
-                    .send("POST", "/v1/chat/completions", &[], &body)
-                    .await
-            }
+            async move { caller.send("POST", CHAT, &[], &body).await }
         };
         let before = futures_util::future::join_all((0..10).map(|_| call()));
 
@@ -314,7 +338,7 @@
             ..StoreFaults::default()
         });
         let transfer = persist(&site, &[0, 1], &program, "t1", TRANSFER).await;
-        let chat = persist(&site, &[1], &program, "m1", "/v1/chat/completions").await;
+        let chat = persist(&site, &[1], &program, "m1", CHAT).await;
         let opened = site.open_program(1).await;
 
         assert_eq!([transfer.status, chat.status], [200, 200]);
@@ -407,7 +431,7 @@
         let body = json!({"model": "cask-7b", "messages": [{"role": "user", "content": "hello"}]});
         let (caller, other) = (site.caller(0), site.caller(1));
 
-        let call = caller.send("POST", "/v1/chat/completions", &headers, &body);
+        let call = caller.send("POST", CHAT, &headers, &body);
         let ending = async {
             eventually("the call runs", async || site.engines[0].running() == 1).await;
             let path = format!("/v1/programs/{program}");
--- a/testutils/src/bin/limpetferry-load.rs
+++ b/testutils/src/bin/limpetferry-load.rs
@@ -55,6 +55,9 @@
         /// Calls of each kind.
         #[arg(long, default_value_t = 2_000)]
         calls: usize,
+        /// Gives the side processes data folders.
+        #[arg(long)]
+        data: bool,
     },
     /// Opens programs and reports the memory of owner and keeper.
     Programs {
@@ -103,6 +106,10 @@
         /// What to kill: `entry-1`, or a side process.
         #[arg(long, default_value = "entry-1")]
         victim: String,
+        /// Kills all side processes too and starts them again; they have data
+        /// folders.
+        #[arg(long)]
+        pairs: bool,
     },
 }
 
@@ -213,8 +220,12 @@
     programs
 }
 
-async fn keeper(calls: usize) {
-    let site = Site::start_as(Mode::Processes, 1, 1, 2).await;
+async fn keeper(calls: usize, data: bool) {
+    let site = if data {
+        Site::start_stored(1, 1, 2).await
+    } else {
+        Site::start_as(Mode::Processes, 1, 1, 2).await
+    };
     let caller = site.caller(0);
     let body = json!({"cask": 12});
     for round in 1..=3 {
@@ -341,11 +352,24 @@
     println!("entries={entries} sides={sides} {}", row("patch", &times));
 }
 
-async fn takeover(count: usize, victim: &str) {
-    let mut site = Site::start_as(Mode::Processes, 3, 1, 4).await;
+async fn takeover(count: usize, victim: &str, pairs: bool) {
+    let mut site = if pairs {
+        Site::start_stored(3, 1, 4).await
+    } else {
+        Site::start_as(Mode::Processes, 3, 1, 4).await
+    };
     let programs = open_programs(&site, count).await;
     let last = site.entries.len() - 1;
     site.process(victim).kill();
+    if pairs {
+        let sides = ["engine-1", "tool-1", "tool-2", "tool-3", "tool-4"];
+        for side in sides {
+            site.process(side).kill();
+        }
+        for side in sides {
+            site.start_side(side);
+        }
+    }
     let start = Instant::now();
     let site = &site;
     let again = programs.iter().map(|program| async move {
@@ -620,7 +644,7 @@
                 token_us,
             } => added(callers, calls, tokens, token_us).await,
             Command::Waiting { count } => waiting(count).await,
-            Command::Keeper { calls } => keeper(calls).await,
+            Command::Keeper { calls, data } => keeper(calls, data).await,
             Command::Programs { count, history } => programs(count, history).await,
             Command::Idle { sides, entries } => idle(entries, sides).await,
             Command::Patch {
@@ -629,7 +653,11 @@
                 sides,
             } => patch(count, entries, sides).await,
             Command::Decide { workers, programs } => decide::run(workers, programs),
-            Command::Takeover { programs, victim } => takeover(programs, &victim).await,
+            Command::Takeover {
+                programs,
+                victim,
+                pairs,
+            } => takeover(programs, &victim, pairs).await,
         }
     });
 }
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -13,6 +13,7 @@
 use limpetferry_net::callers::key_digest;
 use limpetferry_net::settings::CallerLimits;
 use limpetferry_net::settings::Common;
+use limpetferry_net::settings::DataSettings;
 use limpetferry_net::settings::EntrySettings;
 use limpetferry_net::settings::LogSettings;
 use limpetferry_net::settings::SideSettings;
@@ -79,6 +80,8 @@
     vms_at: SocketAddr,
     /// Times and bounds of the processes that start from now on.
     pub rules: Rules,
+    /// Whether side processes that are added have a data folder.
+    data: bool,
     mode: Mode,
     folder: PathBuf,
     stops: Vec<async_channel::Sender<()>>,
@@ -141,6 +144,7 @@
             store_at,
             vms_at,
             rules,
+            data: false,
             mode,
             folder: folder(),
             stops: vec![stop_store, stop_vms],
@@ -163,17 +167,33 @@
     /// Panics if the site does not come up.
     pub async fn start_as(mode: Mode, entries: usize, engines: usize, services: usize) -> Self {
         let mut site = Self::platform(Rules::default(), mode).await;
+        site.fill(entries, engines, services).await;
+        site
+    }
+
+    /// Starts a whole site whose side processes have data folders.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the site does not come up.
+    pub async fn start_stored(entries: usize, engines: usize, services: usize) -> Self {
+        let mut site = Self::platform(Rules::default(), Mode::Processes).await;
+        site.data = true;
+        site.fill(entries, engines, services).await;
+        site
+    }
+
+    async fn fill(&mut self, entries: usize, engines: usize, services: usize) {
         for _ in 0..engines {
-            site.add_engine().await;
+            self.add_engine().await;
         }
         for _ in 0..services {
-            site.add_service().await;
+            self.add_service().await;
         }
         for _ in 0..entries {
-            site.add_entry();
+            self.add_entry();
         }
-        site.apply_first().await;
-        site
+        self.apply_first().await;
     }
 
     fn common(&self, name: &str, index: usize) -> Common {
@@ -219,10 +239,17 @@
         self.processes.insert(name, process);
     }
 
+    fn data_settings(&self) -> DataSettings {
+        let folder = self.folder.join("data");
+        std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
+        DataSettings { folder, most: 64 }
+    }
+
     fn add_side(&mut self, name: String, index: usize, server: SocketAddr) {
         let settings = SideSettings {
             common: self.common(&name, index),
             server,
+            data: self.data.then(|| self.data_settings()),
         };
         self.vms.set(&settings.common.vm, "live");
         self.metrics.push(settings.common.metrics);
