lib: prove that settings never go back, over random interleavings

Cause: no invariant of the property tests spoke of a document's version.

Change: operators patch in the world; notices come late, twice and out of order. Two invariants: no life of a process goes back to an older version (versions_grow), and once nothing fails every process has the newest one (newest_everywhere).

--- a/lib/tests/named.rs
+++ b/lib/tests/named.rs
@@ -3,20 +3,22 @@
 use std::fs;
 use std::path::Path;
 
+/// Returns the texts of the test files in `folder`.
+fn test_files(folder: &Path) -> Vec<String> {
+    let entries = fs::read_dir(folder).into_iter().flatten();
+    let files = entries.filter_map(|entry| Some(entry.ok()?.path()));
+    let code = files.filter(|path| path.extension().is_some_and(|end| end == "rs"));
+    code.map(|path| fs::read_to_string(path).expect("the file can be read"))
+        .collect()
+}
+
 #[test]
 fn tests_named_in_promises_exist() {
     let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("..");
     let page = fs::read_to_string(root.join("docs/promises.md")).expect("the page is there");
-    let files = [
-        "lib/tests/promises.rs",
-        "net/tests/failures.rs",
-        "net/tests/whole_path.rs",
-        "net/tests/errors.rs",
-        "net/tests/peer.rs",
-    ];
-    let code: String = files
+    let code: String = ["lib/tests", "net/tests", "ctl/tests"]
         .iter()
-        .map(|file| fs::read_to_string(root.join(file)).expect("the test file is there"))
+        .flat_map(|folder| test_files(&root.join(folder)))
         .collect();
 
     let rows = page.lines().filter(|line| line.matches('|').count() == 6);
--- a/lib/tests/support/action.rs
+++ b/lib/tests/support/action.rs
@@ -41,6 +41,8 @@
     Double(u16),
     /// The backend server breaks a call off.
     Break(u16),
+    /// An operator's patch is applied in the key-value service.
+    Patch,
 }
 
 /// Draws one step; ordinary ones are the most.
@@ -66,5 +68,6 @@
         1 => pick().prop_map(Action::Leave),
         2 => pick().prop_map(Action::Double),
         2 => pick().prop_map(Action::Break),
+        2 => Just(Action::Patch),
     ]
 }
--- a/lib/tests/support/invariant.rs
+++ b/lib/tests/support/invariant.rs
@@ -4,6 +4,7 @@
 
 use limpetferry_lib::id::CallId;
 use limpetferry_lib::id::ProgramId;
+use limpetferry_lib::id::Version;
 
 use super::backend::Run;
 use super::backend::turn_of;
@@ -124,3 +125,29 @@
     }
     Ok(())
 }
+
+/// A process never goes back to an older version of the settings.
+pub fn versions_grow(world: &mut World) -> Result<(), Fault> {
+    for (life, version) in world.in_force() {
+        let old = world.versions.insert(life.clone(), version);
+        if old.is_some_and(|old| old > version) {
+            return Err(format!(
+                "versions_grow: {life:?} fell from {old:?} to {version:?}"
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Once nothing fails any more, every process has the newest settings in
+/// force, whoever of them heard of a patch first.
+pub fn newest_everywhere(world: &World, newest: Version) -> Result<(), Fault> {
+    for (life, version) in world.in_force() {
+        if version != newest {
+            return Err(format!(
+                "newest_everywhere: {life:?} has {version:?}, the newest is {newest:?}"
+            ));
+        }
+    }
+    Ok(())
+}
--- a/lib/tests/support/world.rs
+++ b/lib/tests/support/world.rs
@@ -13,7 +13,9 @@
 use limpetferry_lib::id::DataCentre;
 use limpetferry_lib::id::Epoch;
 use limpetferry_lib::id::NodeId;
+use limpetferry_lib::id::Operator;
 use limpetferry_lib::id::ShardId;
+use limpetferry_lib::id::Version;
 use limpetferry_lib::keeper::CopyRecord;
 use limpetferry_lib::member::Node;
 use limpetferry_lib::member::Role;
@@ -42,6 +44,8 @@
 
 /// Lines that a report holds.
 const TRACED: usize = 4_000;
+/// The operator of the one deployment.
+const OPERATOR: &str = "op";
 const ENTRIES: usize = 3;
 const SIDES: usize = 3;
 /// Side processes that have a data folder.
@@ -76,7 +80,11 @@
     /// Highest epoch that each process knew of each shard.
     pub epochs: BTreeMap<(NodeId, ShardId), Epoch>,
     rules: Rules,
+    /// Text of the newest document, and its version.
     document: String,
+    version: u64,
+    /// Highest version that each life of a process had in force.
+    pub versions: BTreeMap<(NodeId, u64), Version>,
     fault: Option<Fault>,
     /// Steps taken.
     pub steps: u64,
@@ -84,13 +92,13 @@
     trace: VecDeque<String>,
 }
 
-fn document(sides: &[NodeId]) -> String {
+fn document(sides: &[NodeId], version: u64) -> String {
     let servers: BTreeMap<&str, _> = sides
         .iter()
         .map(|id| (id.as_str(), json!({"slots": 2})))
         .collect();
     let names: Vec<&str> = sides.iter().map(NodeId::as_str).collect();
-    json!({"operator": "op", "version": 1, "patches": [], "document": {
+    json!({"operator": OPERATOR, "version": version, "patches": [], "document": {
         "servers": servers,
         "deployments": {"dep": {
             "key": "0".repeat(64),
@@ -141,6 +149,8 @@
                 ..Rules::default()
             },
             document: String::new(),
+            version: 1,
+            versions: BTreeMap::new(),
             fault: None,
             steps: 0,
             trace: VecDeque::new(),
@@ -149,7 +159,7 @@
             world.add(index);
         }
         let sides: Vec<NodeId> = world.names(Role::Side);
-        world.document = document(&sides);
+        world.document = document(&sides, world.version);
         for index in 0..world.processes.len() {
             world.start(index);
         }
@@ -424,9 +434,13 @@
             }
             Action::Double(pick) => self.double(pick),
             Action::Break(pick) => self.break_off(pick),
+            Action::Patch if self.store.down => {}
+            Action::Patch => self.patch(),
         }
-        if let Err(fault) = invariant::epochs_grow(self) {
-            self.fault.get_or_insert(fault);
+        for check in [invariant::epochs_grow, invariant::versions_grow] {
+            if let Err(fault) = check(self) {
+                self.fault.get_or_insert(fault);
+            }
         }
         self.report()
     }
@@ -594,9 +608,40 @@
         }
     }
 
+    /// Applies a patch; every entry's watch brings it, in any order.
+    fn patch(&mut self) {
+        self.version += 1;
+        let sides = self.names(Role::Side);
+        self.document = document(&sides, self.version);
+        for id in self.names(Role::Entry) {
+            let event = entry::Event::Document(self.document.clone());
+            self.store.answers.push((id, event));
+        }
+    }
+
+    /// Returns the version in force in each process that lives.
+    pub fn in_force(&self) -> Vec<((NodeId, u64), Version)> {
+        let operator = Operator::new(OPERATOR);
+        let mut versions = Vec::new();
+        for process in &self.processes {
+            let documents = match &process.reducer {
+                Some(Reducer::Entry(entry)) => entry.documents(),
+                Some(Reducer::Side(side)) => side.documents(),
+                None => continue,
+            };
+            let life = (process.node.id.clone(), process.life);
+            versions.push((life, documents.version(&operator)));
+        }
+        versions
+    }
+
     fn double(&mut self, pick: u16) {
-        let notice =
-            |(_, event): &&(NodeId, entry::Event)| matches!(event, entry::Event::Block { .. });
+        let notice = |(_, event): &&(NodeId, entry::Event)| {
+            matches!(
+                event,
+                entry::Event::Block { .. } | entry::Event::Document(_)
+            )
+        };
         let notices: Vec<_> = self.store.answers.iter().filter(notice).cloned().collect();
         if let Some(copy) = notices.get(usize::from(pick) % notices.len().max(1)) {
             self.store.answers.push(copy.clone());
@@ -672,6 +717,7 @@
         if !self.callers.waiting.is_empty() {
             return Err(format!("calls_end: {:?} wait", self.callers.waiting));
         }
+        invariant::newest_everywhere(self, Version(self.version))?;
         let busy: BTreeSet<&NodeId> = self
             .sides()
             .filter(|(_, side)| side.load().running + side.load().queued > 0)
