owner: refuse whatever another operator asks of a program

Cause: reading and ending a program and settling a call did not say in whose name they were asked, and the owner compared names of deployments only where a new call or a sub-agent came; so any valid key read, ended or settled another operator's program whose id it knew, and two operators whose deployments had the same name were one to it. A call under way answered whoever sent the same bytes.

Ruled out: a check at the entries' listeners; only the owner knows whose the program is.

Change: each request carries operator and deployment, and one check before anything else refuses with bad_key. Two partial checks go.

--- a/lib/src/message.rs
+++ b/lib/src/message.rs
@@ -45,9 +45,9 @@
     /// Opens a program.
     Open(OpenRequest),
     /// Reads a program.
-    Read(ProgramId),
+    Read(ProgramRequest),
     /// Ends a program.
-    End(ProgramId),
+    End(ProgramRequest),
     /// Settles a call of unknown outcome, on an operator's word.
     Judge(Judgement),
 }
@@ -58,10 +58,23 @@
         match self {
             Self::Call(call) => call.program,
             Self::Open(open) => open.program,
-            Self::Read(program) | Self::End(program) => *program,
+            Self::Read(request) | Self::End(request) => request.program,
             Self::Judge(judgement) => judgement.program,
         }
     }
+
+    /// Returns in whose name it is asked; an operator's word counts for all
+    /// of its deployments.
+    pub fn tenant(&self) -> (&Operator, Option<&Deployment>) {
+        match self {
+            Self::Call(call) => (&call.operator, Some(&call.deployment)),
+            Self::Open(open) => (&open.operator, Some(&open.deployment)),
+            Self::Read(request) | Self::End(request) => {
+                (&request.operator, Some(&request.deployment))
+            }
+            Self::Judge(judgement) => (&judgement.operator, None),
+        }
+    }
 }
 
 /// Opens a program under an id that the entry has drawn.
@@ -79,11 +92,24 @@
     pub limit: Amount,
 }
 
+/// Reads or ends a program, in the name of a deployment.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgramRequest {
+    /// The program.
+    pub program: ProgramId,
+    /// Operator of the deployment.
+    pub operator: Operator,
+    /// The deployment that the caller's key belongs to.
+    pub deployment: Deployment,
+}
+
 /// An operator's word on a call of unknown outcome.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Judgement {
     /// The call's program.
     pub program: ProgramId,
+    /// The operator whose word it is.
+    pub operator: Operator,
     /// The call.
     pub call: CallId,
     /// Whether the operator found that it ran.
--- a/lib/src/submission.rs
+++ b/lib/src/submission.rs
@@ -81,15 +81,34 @@
         request: Request,
         offset: u64,
     ) {
+        if self.is_foreign(&request) {
+            let refusal = Refusal::with(Code::BadKey, "the program is another deployment's");
+            self.refuse_caller(cx, Some(shard), watcher, refusal);
+            return;
+        }
         match request {
             Request::Call(call) => self.accept_call(cx, Some(shard), watcher, call, offset),
             Request::Open(open) => self.open(cx, shard, watcher, &open),
-            Request::Read(program) => self.read(cx, shard, watcher, program),
-            Request::End(program) => self.end(cx, shard, watcher, program),
+            Request::Read(request) => self.read(cx, shard, watcher, request.program),
+            Request::End(request) => self.end(cx, shard, watcher, request.program),
             Request::Judge(judgement) => self.judge(cx, shard, watcher, &judgement),
         }
     }
 
+    /// Returns whether the program that is asked about, or the parent of one
+    /// that is opened, is another deployment's.
+    fn is_foreign(&self, request: &Request) -> bool {
+        let about = match request {
+            Request::Open(open) => open.parent.unwrap_or(open.program),
+            other => other.program(),
+        };
+        let (operator, deployment) = request.tenant();
+        self.programs.get(&about).is_some_and(|program| {
+            let head = &program.copy.head;
+            head.operator != *operator || deployment.is_some_and(|name| head.deployment != *name)
+        })
+    }
+
     pub(crate) fn open(
         &mut self,
         cx: &mut Context<'_>,
@@ -164,10 +183,6 @@
             Some(program) if program.copy.head.ended => {
                 Err(Refusal::with(Code::ProgramEnded, "the parent"))
             }
-            Some(program) if program.copy.head.deployment != open.deployment => Err(Refusal::with(
-                Code::BadKey,
-                "the parent is another deployment's",
-            )),
             Some(_) => Ok(()),
         }
     }
--- a/lib/src/turn.rs
+++ b/lib/src/turn.rs
@@ -126,12 +126,6 @@
             };
             return Err(Refusal::new(code));
         }
-        if copy.head.deployment != request.deployment {
-            return Err(Refusal::with(
-                Code::BadKey,
-                "the program is another deployment's",
-            ));
-        }
         if copy.head.ended {
             return Err(Refusal::new(Code::ProgramEnded));
         }
--- a/lib/tests/alone.rs
+++ b/lib/tests/alone.rs
@@ -16,6 +16,7 @@
 use limpetferry_lib::id::Operator;
 use limpetferry_lib::id::ProgramId;
 use limpetferry_lib::message::OpenRequest;
+use limpetferry_lib::message::ProgramRequest;
 use limpetferry_lib::message::Reply;
 use limpetferry_lib::message::Request;
 use limpetferry_lib::rules::Rules;
@@ -118,7 +119,11 @@
 fn a_reading_that_no_keeper_confirms_is_refused_at_once() {
     let rules = Rules::default();
     let mut entry = lone_entry(&rules);
-    let read = Request::Read(ProgramId { root: 1, leaf: 2 });
+    let read = Request::Read(ProgramRequest {
+        program: ProgramId { root: 1, leaf: 2 },
+        operator: Operator::new("op"),
+        deployment: Deployment::new("dep"),
+    });
 
     let word = last_word(&mut entry, read, 60_000);
 
--- a/lib/tests/members.rs
+++ b/lib/tests/members.rs
@@ -8,13 +8,16 @@
 use limpetferry_lib::entry::Event;
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::DataCentre;
+use limpetferry_lib::id::Deployment;
 use limpetferry_lib::id::Epoch;
 use limpetferry_lib::id::NodeId;
+use limpetferry_lib::id::Operator;
 use limpetferry_lib::id::ProgramId;
 use limpetferry_lib::member::Members;
 use limpetferry_lib::member::Node;
 use limpetferry_lib::member::Role;
 use limpetferry_lib::message::Message;
+use limpetferry_lib::message::ProgramRequest;
 use limpetferry_lib::message::Request;
 use limpetferry_lib::rules::Rules;
 use limpetferry_lib::shard::Assignment;
@@ -98,7 +101,11 @@
 
     let ask = Event::Caller {
         caller: CallerKey(1),
-        request: Request::Read(ProgramId { root: 1, leaf: 2 }),
+        request: Request::Read(ProgramRequest {
+            program: ProgramId { root: 1, leaf: 2 },
+            operator: Operator::new("op"),
+            deployment: Deployment::new("dep"),
+        }),
         offset: 0,
     };
     entry.step(at(3), ask, &mut out);
--- a/net/src/callers.rs
+++ b/net/src/callers.rs
@@ -29,6 +29,7 @@
 use limpetferry_lib::id::Service;
 use limpetferry_lib::message::Ending;
 use limpetferry_lib::message::OpenRequest;
+use limpetferry_lib::message::ProgramRequest;
 use limpetferry_lib::message::ProgramView;
 use limpetferry_lib::message::Reply;
 use limpetferry_lib::message::Request as Ask;
@@ -102,6 +103,17 @@
     rules: DeploymentRules,
 }
 
+impl Scope {
+    /// Returns the request about a program in this deployment's name.
+    fn of(&self, program: ProgramId) -> ProgramRequest {
+        ProgramRequest {
+            program,
+            operator: self.operator.clone(),
+            deployment: self.deployment.clone(),
+        }
+    }
+}
+
 async fn answer(
     handle: &EntryHandle,
     request: Request<Incoming>,
@@ -137,8 +149,8 @@
     if let Some(id) = path.strip_prefix("/v1/programs/") {
         let program = program_id(id)?;
         let ask = match head.method {
-            Method::GET => Ask::Read(program),
-            Method::DELETE => Ask::End(program),
+            Method::GET => Ask::Read(scope.of(program)),
+            Method::DELETE => Ask::End(scope.of(program)),
             _ => return Err(Refusal::with(Code::BadRequest, "use GET or DELETE")),
         };
         return program_answer(handle, ask).await;
--- a/net/src/operators.rs
+++ b/net/src/operators.rs
@@ -72,7 +72,7 @@
         (&Method::POST, "/v1/config/patches") => apply(handle, &operator, &body).await,
         (&Method::GET, "/v1/status") => status(handle, &operator).await,
         (&Method::GET, "/v1/programs") => programs(handle, &operator).await,
-        (&Method::POST, "/v1/settle") => settle(handle, &body).await,
+        (&Method::POST, "/v1/settle") => settle(handle, operator, &body).await,
         (method, path) => match path.strip_prefix("/v1/drains/") {
             Some(server) => drain(handle, &operator, method, &NodeId::new(server)).await,
             None => Err(Refusal::with(
@@ -248,7 +248,11 @@
     ran: bool,
 }
 
-async fn settle(handle: &EntryHandle, body: &[u8]) -> Result<Response<Body>, Refusal> {
+async fn settle(
+    handle: &EntryHandle,
+    operator: Operator,
+    body: &[u8],
+) -> Result<Response<Body>, Refusal> {
     let body: SettleBody = serde_json::from_slice(body)
         .map_err(|error| Refusal::with(Code::BadRequest, error.to_string()))?;
     let program = body
@@ -257,6 +261,7 @@
         .map_err(|error| Refusal::with(Code::BadRequest, format!("{error}")))?;
     let judgement = Judgement {
         program,
+        operator,
         call: CallId::derive(&body.program, &body.key),
         ran: body.ran,
     };
