members: let flapping take out no more than half of the servers

Cause: a server whose link was lost gets no work for 0.25 to 16 s. With one server, or when all links were lost at once, everything was refused ('no_server') although servers were there. Met by a test of silent connections whose first call came right after a link was made anew.

Ruled out: a shorter wait; flapping servers would get work that they lose.

Change: the rule that keeps a lying VM list from taking out more than half of a role's linked processes holds for lost links too.

--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -258,20 +258,28 @@
     }
 
     /// Returns whether `id` may get new work. A process's own leave notice
-    /// always counts; the VM list counts unless it would take out more than
-    /// half of the linked processes of the same role at once, since then the
-    /// list is more likely to be wrong.
+    /// and a drain always count. The VM list and lost links count unless
+    /// either would take out more than half of the linked processes of the
+    /// same role: then the list is more likely to be wrong, and servers that
+    /// flap are better than none.
     pub fn in_service(&self, now: Time, id: &NodeId) -> bool {
         let Some(member) = self.known.get(id) else {
             return false;
         };
-        if member.leaving || member.drained || !member.is_steady(now) {
+        if member.leaving || member.drained || member.boot().is_none() {
             return false;
         }
-        member.listed != Listed::Leaving || !self.list_is_credible(member.node.role)
+        let role = member.node.role;
+        let listed = |member: &Member| member.listed == Listed::Leaving;
+        let unsteady = |member: &Member| !member.is_steady(now);
+        let out = listed(member) && self.is_few(role, listed)
+            || unsteady(member) && self.is_few(role, unsteady);
+        !out
     }
 
-    fn list_is_credible(&self, role: Role) -> bool {
+    /// Returns whether at most half of the linked processes of a role are
+    /// such as `is_out` says.
+    fn is_few(&self, role: Role, is_out: impl Fn(&Member) -> bool) -> bool {
         let linked = self
             .known
             .values()
@@ -279,7 +287,7 @@
         let (mut total, mut out) = (0_usize, 0_usize);
         for member in linked {
             total += 1;
-            out += usize::from(member.listed == Listed::Leaving);
+            out += usize::from(is_out(member));
         }
         out * 2 <= total
     }
--- a/lib/tests/members.rs
+++ b/lib/tests/members.rs
@@ -115,3 +115,62 @@
     });
     assert!(submitted, "{out:?}");
 }
+
+/// Returns members with linked side processes of these names.
+fn linked_sides(names: &[&str]) -> Members {
+    let mut members = Members::default();
+    for name in names {
+        let side = node(name, Role::Side);
+        members.register(at(0), [&side]);
+        members.link_up(at(0), &side.id, Boot(1));
+    }
+    members
+}
+
+/// Loses and makes the link to `name` again, `times` times until `end`.
+fn flap(members: &mut Members, name: &str, times: u64, end: u64) {
+    let id = NodeId::new(name);
+    for turn in (1..=times).rev() {
+        members.link_down(at(end - turn * 10), &id);
+        members.link_up(at(end - turn * 10 + 5), &id, Boot(1));
+    }
+}
+
+#[test]
+fn a_server_that_flaps_gets_work_after_a_time_that_grows() {
+    let mut members = linked_sides(&["tool-1", "tool-2", "tool-3"]);
+    let id = NodeId::new("tool-1");
+
+    flap(&mut members, "tool-1", 1, 10_000);
+    let after_one = [10_100, 10_300].map(|now| members.in_service(at(now), &id));
+    flap(&mut members, "tool-1", 4, 20_000);
+    let after_five = [20_300, 23_000, 24_100].map(|now| members.in_service(at(now), &id));
+
+    assert_eq!(after_one, [false, true]);
+    assert_eq!(after_five, [false, false, true]);
+}
+
+#[test]
+fn flapping_takes_out_no_more_than_half_of_the_servers() {
+    let mut members = linked_sides(&["tool-1", "tool-2"]);
+    let in_service = |members: &Members| {
+        ["tool-1", "tool-2"].map(|name| members.in_service(at(10_100), &NodeId::new(name)))
+    };
+
+    flap(&mut members, "tool-1", 3, 10_000);
+    let one = in_service(&members);
+    flap(&mut members, "tool-2", 3, 10_000);
+    let both = in_service(&members);
+
+    assert_eq!(one, [false, true]);
+    assert_eq!(both, [true, true]);
+}
+
+#[test]
+fn a_drained_server_gets_nothing_even_if_it_is_the_only_one() {
+    let mut members = linked_sides(&["tool-1"]);
+
+    members.drained(&[NodeId::new("tool-1")]);
+
+    assert!(!members.in_service(at(10_000), &NodeId::new("tool-1")));
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -11,3 +11,4 @@
 pub mod site;
 pub mod store;
 pub mod vms;
+pub mod wire;
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -9,8 +9,10 @@
 use limpetferry_lib::id::DataCentre;
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::id::Operator;
+use limpetferry_lib::member::Node;
 use limpetferry_lib::rules::Rules;
 use limpetferry_net::callers::key_digest;
+use limpetferry_net::keys;
 use limpetferry_net::settings::CallerLimits;
 use limpetferry_net::settings::Common;
 use limpetferry_net::settings::DataSettings;
@@ -28,6 +30,7 @@
 use crate::service::StandInService;
 use crate::store::StandInStore;
 use crate::vms::StandInVms;
+use crate::wire::Wire;
 
 /// Key of the callers of the site's deployment.
 pub const CALLER_KEY: &str = "caller-key-of-the-site";
@@ -271,6 +274,23 @@
         self.processes.insert(name.to_owned(), process);
     }
 
+    /// Leads what entries send to `name` from now on through a wire.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the process is not registered.
+    pub async fn put_wire(&self, name: &str) -> Wire {
+        let key = keys::node(&NodeId::new(name));
+        let text = self.store.get(&key).expect("the process is registered");
+        let mut node: Node = serde_json::from_str(&text).expect("a registration");
+        let address = node.address.parse().expect("an IP address and port");
+        let wire = Wire::to(address).await;
+        node.address = wire.address().to_string();
+        let text = serde_json::to_string(&node).expect("plain data");
+        self.store.set(&key, &text);
+        wire
+    }
+
     /// Returns the process `name`.
     ///
     /// # Panics
--- a/testutils/src/store.rs
+++ b/testutils/src/store.rs
@@ -85,6 +85,14 @@
         self.lock().calls.clone()
     }
 
+    /// Writes a value as some process would.
+    pub fn set(&self, key: &str, value: &str) {
+        let body = json!({"key": BASE64.encode(key), "value": BASE64.encode(value)});
+        let mut state = self.lock();
+        state.revision += 1;
+        state.put(&body);
+    }
+
     /// Returns the value of a key.
     pub fn get(&self, key: &str) -> Option<String> {
         let state = self.lock();
