front, operators: give the last word when there is nothing left to wait for

Ruled out: a shorter settle_wait, which calls under way need.

Change: a request that was never submitted is refused at the end of its patience; one that opens or reads a program is 'not run' then. A patch is refused with the first reading that fails. Tests for answer_expired, backend_failed, store_down, no_keeper, no_owner, settling and the operator's settling of a call.

--- a/lib/src/front.rs
+++ b/lib/src/front.rs
@@ -33,9 +33,21 @@
     /// Run of the call that those bytes belong to.
     attempt: Option<u64>,
     since: Time,
+    /// End of the caller's patience.
+    patience: Time,
+    /// When it is given up though an owner has it.
     deadline: Time,
 }
 
+impl Waiter {
+    /// Returns whether there is nothing left to wait for: an owner that has
+    /// the request ends it, and settles what became of it; of one that never
+    /// left this process there is nothing to settle.
+    fn is_over(&self, now: Time) -> bool {
+        self.deadline <= now || !self.submitted && self.patience <= now
+    }
+}
+
 /// The waiting callers of one entry.
 #[derive(Debug)]
 pub struct Front {
@@ -81,7 +93,8 @@
         };
         // The owner ends a call at its deadline; the wait beyond it is for
         // settling what became of it.
-        let deadline = cx.now + patience + cx.rules.settle_wait() * 2;
+        let patience = cx.now + patience;
+        let deadline = patience + cx.rules.settle_wait() * 2;
         let waiter = Waiter {
             caller,
             request,
@@ -90,6 +103,7 @@
             offset,
             attempt: None,
             since: cx.now,
+            patience,
             deadline,
         };
         self.submit(cx, waiter);
@@ -246,7 +260,7 @@
             .iter()
             .filter(|(_, waiter)| {
                 let again = waiter.owner.is_none() && cx.now.since(waiter.since) >= retry;
-                again || waiter.deadline <= cx.now
+                again || waiter.is_over(cx.now)
             })
             .map(|(ticket, _)| *ticket)
             .collect();
@@ -254,7 +268,7 @@
             let Some(waiter) = self.waiters.remove(&ticket) else {
                 continue;
             };
-            if waiter.deadline <= cx.now {
+            if waiter.is_over(cx.now) {
                 let refusal = given_up(&waiter);
                 self.waiters.insert(ticket, waiter);
                 self.finish(cx, ticket, Reply::Refused(refusal));
@@ -271,7 +285,9 @@
 fn given_up(waiter: &Waiter) -> Refusal {
     let keyed = match &waiter.request {
         Request::Call(call) => call.keyed,
-        _ => true,
+        // The id of a program that is opened is new, and reading does no harm.
+        Request::Open(_) | Request::Read(_) => false,
+        Request::End(_) | Request::Judge(_) => true,
     };
     if waiter.submitted || keyed {
         Refusal::new(Code::Settling)
--- a/lib/tests/members.rs
+++ b/lib/tests/members.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use limpetferry_lib::code::Code;
 use limpetferry_lib::effect::CallerKey;
 use limpetferry_lib::effect::Effect;
 use limpetferry_lib::entry::Entry;
@@ -18,6 +19,7 @@
 use limpetferry_lib::member::Role;
 use limpetferry_lib::message::Message;
 use limpetferry_lib::message::ProgramRequest;
+use limpetferry_lib::message::Reply;
 use limpetferry_lib::message::Request;
 use limpetferry_lib::rules::Rules;
 use limpetferry_lib::shard::Assignment;
@@ -174,3 +176,45 @@
 
     assert!(!members.in_service(at(10_000), &NodeId::new("tool-1")));
 }
+
+#[test]
+fn a_request_that_never_reached_an_owner_ends_with_its_patience() {
+    let rules = Rules::default();
+    let cold = rules.cold_ms;
+    let block = Event::Block {
+        block: 0,
+        revision: 1,
+        value: owned_by("entry-1", rules.shards),
+    };
+    let centre = DataCentre::new("osijek");
+    let mut entry = Entry::new(NodeId::new("entry-2"), centre, Boot(2), rules, 1);
+    let mut out = Vec::new();
+    entry.step(at(0), block, &mut out);
+    let request = Request::Read(ProgramRequest {
+        program: ProgramId { root: 1, leaf: 2 },
+        operator: Operator::new("op"),
+        deployment: Deployment::new("dep"),
+    });
+
+    let ask = Event::Caller {
+        caller: CallerKey(1),
+        request,
+        offset: 0,
+    };
+    entry.step(at(0), ask, &mut out);
+    entry.step(at(cold - 1), Event::Tick, &mut out);
+    let early = out
+        .iter()
+        .any(|effect| matches!(effect, Effect::Finish { .. }));
+    entry.step(at(cold), Event::Tick, &mut out);
+
+    let words = out.iter().filter_map(|effect| match effect {
+        Effect::Finish {
+            reply: Reply::Refused(refusal),
+            ..
+        } => Some(refusal.code),
+        _ => None,
+    });
+    assert!(!early);
+    assert_eq!(words.collect::<Vec<_>>(), [Code::NoOwner]);
+}
--- a/net/src/operators.rs
+++ b/net/src/operators.rs
@@ -164,13 +164,9 @@
         .map_err(|error| Refusal::with(Code::BadRequest, error.to_string()))?;
     let mut last = Refusal::new(Code::StoreDown);
     for _ in 0..TRIES {
-        let (envelope, revision) = match read(handle, operator).await {
-            Ok(read) => read,
-            Err(refusal) => {
-                last = refusal;
-                continue;
-            }
-        };
+        // A service that cannot be read now is not waited for: the operator
+        // is told to come back.
+        let (envelope, revision) = read(handle, operator).await?;
         let applied = patch::apply(&envelope, &patch, operator.as_str(), unix_secs());
         let (next, audit) = match applied.map_err(patch_refusal)? {
             Applied::Before(version) => return Ok(applied_answer(version.0)),
--- a/net/tests/errors.rs
+++ b/net/tests/errors.rs
@@ -4,8 +4,11 @@
 use limpetferry_testutils::client::Caller;
 use limpetferry_testutils::client::Got;
 use limpetferry_testutils::engine::EngineRules;
+use limpetferry_testutils::service::ServiceRules;
+use limpetferry_testutils::site::Mode;
 use limpetferry_testutils::site::Site;
 use limpetferry_testutils::site::eventually;
+use limpetferry_testutils::store::StoreFaults;
 use serde_json::Value;
 use serde_json::json;
 
@@ -216,3 +219,144 @@
         assert_refused(&drained, 400, "bad_request", "not_run");
     });
 }
+
+#[test]
+fn an_answer_that_is_no_longer_kept_is_told_so() {
+    smol::block_on(async {
+        let site = Site::start(1, 1, 1).await;
+        let caller = site.caller(0);
+        let program = open_program(&caller, &Value::Null).await;
+        let own = ("limpetferry-program", program.as_str());
+        for number in 0..10 {
+            let key = format!("t{number}");
+            let headers = [own, ("idempotency-key", key.as_str())];
+            let got = send(&caller, "POST", TRANSFER, &headers, &json!({})).await;
+            assert_eq!(got.status, 200);
+        }
+
+        let first = [own, ("idempotency-key", "t0")];
+        let again = send(&caller, "POST", TRANSFER, &first, &json!({})).await;
+
+        assert_refused(&again, 410, "answer_expired", "ran");
+        assert_eq!(site.services[0].runs().len(), 10);
+    });
+}
+
+#[test]
+fn an_engine_that_breaks_off_gives_no_half_answer() {
+    smol::block_on(async {
+        let site = Site::start(1, 1, 0).await;
+        site.engines[0].set_rules(EngineRules {
+            break_at: 3,
+            ..EngineRules::default()
+        });
+
+        let got = send(&site.caller(0), "POST", CHAT, &[], &question()).await;
+
+        assert_refused(&got, 502, "backend_failed", "ran");
+    });
+}
+
+#[test]
+fn a_patch_without_the_key_value_service_says_to_come_back() {
+    smol::block_on(async {
+        let site = Site::start(1, 1, 0).await;
+        site.store.set_faults(StoreFaults {
+            down: true,
+            ..StoreFaults::default()
+        });
+        let patch = json!({"id": "p", "base": 1, "change": {"merge": {}}});
+
+        let got = send(&site.operator(0), "POST", "/v1/config/patches", &[], &patch).await;
+
+        assert_refused(&got, 503, "store_down", "unknown");
+        assert_eq!(got.json()["error"]["retry_after"], 2);
+    });
+}
+
+#[test]
+fn without_any_keeper_programs_are_told_to_come_back() {
+    smol::block_on(async {
+        let mut site = Site::start_as(Mode::Processes, 1, 0, 1).await;
+        site.process("tool-1").kill();
+        let caller = site.caller(0);
+
+        let got = send(&caller, "POST", "/v1/programs", &[], &Value::Null).await;
+
+        assert_refused(&got, 503, "no_keeper", "unknown");
+        assert_eq!(got.json()["error"]["retry_after"], 2);
+    });
+}
+
+#[test]
+fn a_call_whose_owner_cannot_be_reached_gets_an_honest_word() {
+    smol::block_on(async {
+        let mut site = Site::start_as(Mode::Processes, 2, 0, 2).await;
+        // Without the key-value service nobody takes the dead owner's shards.
+        site.store.set_faults(StoreFaults {
+            down: true,
+            ..StoreFaults::default()
+        });
+        site.process("entry-1").kill();
+        let caller = site.caller(1);
+        let path = "/v1/tools/transfers/lookup";
+        let short = ("limpetferry-patience-ms", "10");
+        let keyed = ("idempotency-key", "k");
+
+        let mut codes = std::collections::BTreeSet::new();
+        while codes.len() < 2 {
+            let id = rand::random::<u64>();
+            let program = format!("p-{id:016x}-0000000000000001");
+            let own = ("limpetferry-program", program.as_str());
+            let unkeyed = send(&caller, "POST", path, &[own, short], &json!({})).await;
+            if unkeyed.code() == "program_unknown" {
+                // Its shard is the living entry's.
+                continue;
+            }
+            let keyed = send(&caller, "POST", path, &[own, short, keyed], &json!({})).await;
+            assert_refused(&unkeyed, 503, "no_owner", "not_run");
+            assert_refused(&keyed, 503, "settling", "unknown");
+            codes.extend([unkeyed.code(), keyed.code()]);
+        }
+
+        assert!(site.services.iter().all(|tool| tool.runs().is_empty()));
+    });
+}
+
+#[test]
+fn an_operator_settles_a_call_of_unknown_outcome() {
+    smol::block_on(async {
+        let site = Site::start(1, 0, 1).await;
+        let timeout = json!({"deployments": {"register": {"services":
+            {"transfers": {"timeout_ms": 100}}}}});
+        patch(&site, 1, timeout).await;
+        let caller = site.caller(0);
+        let program = open_program(&caller, &Value::Null).await;
+        let own = ("limpetferry-program", program.as_str());
+        site.services[0].set_rules(ServiceRules {
+            delay_ms: 0,
+            hang: true,
+        });
+        let keys = [("idempotency-key", "ran"), ("idempotency-key", "not")];
+        for key in keys {
+            let got = send(&caller, "POST", TRANSFER, &[own, key], &json!({})).await;
+            assert_refused(&got, 502, "outcome_unknown", "unknown");
+        }
+        site.services[0].set_rules(ServiceRules::default());
+
+        let operator = site.operator(0);
+        for (key, ran) in [("ran", true), ("not", false)] {
+            let word = json!({"program": program, "key": key, "ran": ran});
+            let got = send(&operator, "POST", "/v1/settle", &[], &word).await;
+            assert_eq!(got.status, 200, "{got:?}");
+        }
+        let ran = send(&caller, "POST", TRANSFER, &[own, keys[0]], &json!({})).await;
+        let not = send(&caller, "POST", TRANSFER, &[own, keys[1]], &json!({})).await;
+
+        assert_refused(&ran, 410, "answer_expired", "ran");
+        assert_eq!(not.status, 200, "{not:?}");
+        let mut runs: Vec<u64> = site.services[0].runs().into_values().collect();
+        runs.sort_unstable();
+        assert_eq!(runs, [1, 2], "only what did not run was run again");
+    });
+}
--- a/net/tests/silence.rs
+++ b/net/tests/silence.rs
@@ -209,8 +209,9 @@
         };
         site.vms.set("vm-engine-1", "leaving");
         eventually("the one that leaves gets nothing more", async || {
+            // Were it in service, it would hardly be left out so often.
             let served = site.engines[0].served();
-            for _ in 0..8 {
+            for _ in 0..60 {
                 assert_eq!(ask().await, 200);
             }
             site.engines[0].served() == served
@@ -220,7 +221,7 @@
         site.vms.set("vm-engine-2", "leaving");
         eventually("both get work again", async || {
             let served = site.engines[0].served();
-            for _ in 0..8 {
+            for _ in 0..60 {
                 assert_eq!(ask().await, 200);
             }
             site.engines[0].served() > served
