net: take bursts of connections, and prove stops and outages at size

Cause: of 1,000 callers that connected at once, 26 to 245 were never answered: the standard library listens with a queue of 128 connections, and one that overflows leaves the caller with a connection that looks made. Found by a test of a planned stop under 1,000 streams, which never had them all running.

Ruled out: file descriptors (20,000), limits of the document, the engine's slots (side processes had all calls that the entry had).

Tests: 1,000 streams at SIGTERM, an abandoned program, an hour without the key-value service in virtual time.

In the hour's outage every program goes on and nothing is asked of the service.

--- a/lib/tests/promises.rs
+++ b/lib/tests/promises.rs
@@ -10,6 +10,7 @@
 use support::action::Action;
 use support::action::action;
 use support::world::World;
+use support::world::next_call;
 
 /// Steps of one run.
 const STEPS: usize = 400;
@@ -91,6 +92,29 @@
     assert!(world.callers.answers > 20);
 }
 
+#[test]
+fn an_hour_without_the_key_value_service_stops_no_whole_pair() {
+    let mut world = World::new();
+    // Shards are moved for balance until then.
+    world.calm(300);
+    let before = world.callers.answers;
+    let asked = world.store.asked;
+    world.store.down = true;
+    for second in 0..3_600_u16 {
+        for action in [Action::Wait(699), Action::Call(next_call(second))] {
+            world.step(action).expect("every promise holds");
+        }
+        world.calm(3);
+    }
+    let during = world.callers.answers - before;
+    let asked_meanwhile = world.store.asked - asked;
+
+    world.heal().expect("everything ends after the outage");
+
+    assert!(during > 20, "{during} answers in the outage");
+    assert_eq!(asked_meanwhile, 0, "nothing is written in steady state");
+}
+
 /// Folds the report of a failed run, which has a line for each number.
 fn one_line(text: &str) -> String {
     let words: Vec<&str> = text.split_whitespace().collect();
--- a/lib/tests/support/store.rs
+++ b/lib/tests/support/store.rs
@@ -25,6 +25,8 @@
     /// Revision of the whole service.
     pub revision: u64,
     block: (u64, Block),
+    /// Requests of the system so far.
+    pub asked: u64,
     /// Requests under way.
     pub requests: VecDeque<(NodeId, StoreRequest)>,
     /// Answers and notices under way.
@@ -32,6 +34,12 @@
 }
 
 impl Store {
+    /// Takes a request under way.
+    pub fn ask(&mut self, node: NodeId, request: StoreRequest) {
+        self.asked += 1;
+        self.requests.push_back((node, request));
+    }
+
     /// Returns a new boot number.
     pub fn boot(&mut self) -> u64 {
         self.revision += 1;
--- a/lib/tests/support/world.rs
+++ b/lib/tests/support/world.rs
@@ -66,6 +66,13 @@
     disk: Vec<CopyRecord>,
 }
 
+/// Returns the pick of a call that, over a run of numbers, lets each program
+/// in turn go on through one entry after the other.
+pub fn next_call(number: u16) -> u16 {
+    let programs = PROGRAMS as u16;
+    number % programs + programs * 251 * 2 * (number / programs % 7)
+}
+
 /// The world.
 pub struct World {
     now: Time,
@@ -334,12 +341,10 @@
                     revision, value, ..
                 } => {
                     let request = StoreRequest::Swap(revision, value);
-                    self.store.requests.push_back((id.clone(), request));
+                    self.store.ask(id.clone(), request);
                 }
                 Effect::Reread { .. } => {
-                    self.store
-                        .requests
-                        .push_back((id.clone(), StoreRequest::Read));
+                    self.store.ask(id.clone(), StoreRequest::Read);
                 }
                 Effect::Start {
                     call,
@@ -705,9 +710,7 @@
         self.calm(300);
         for round in 0..60_u16 {
             for program in 0..PROGRAMS as u16 {
-                self.step(Action::Call(
-                    program + PROGRAMS as u16 * 251 * 2 * (round % 7),
-                ))?;
+                self.step(Action::Call(next_call(program + round * PROGRAMS as u16)))?;
             }
             self.calm(15);
             self.report()?;
--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -175,10 +175,10 @@
 pub async fn run(settings: EntrySettings, stop: Receiver<()>) -> eyre::Result<()> {
     let common = settings.common.clone();
     let metrics = Metrics::new().wrap_err("cannot make the metrics")?;
-    let peers = bind("common.peers", common.peers).await?;
-    let callers = bind("callers", settings.callers).await?;
-    let operators = bind("operators", settings.operators).await?;
-    let health = bind("common.metrics", common.metrics).await?;
+    let peers = bind("common.peers", common.peers)?;
+    let callers = bind("callers", settings.callers)?;
+    let operators = bind("operators", settings.operators)?;
+    let health = bind("common.metrics", common.metrics)?;
     let listening = Bounds {
         connections: settings.limits.connections,
         head: settings.limits.head,
--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -72,8 +72,8 @@
     let common = &settings.common;
     let metrics = Metrics::new().wrap_err("cannot make the metrics")?;
     let (copies, found) = open_copies(&settings)?;
-    let peers = bind("common.peers", common.peers).await?;
-    let health = bind("common.metrics", common.metrics).await?;
+    let peers = bind("common.peers", common.peers)?;
+    let health = bind("common.metrics", common.metrics)?;
     let (end, ended) = async_channel::bounded::<()>(1);
     smol::spawn(serve(health, HEALTH, metrics.handler(), ended.clone())).detach();
     let store: Arc<dyn Store> = Arc::new(HttpStore::new(&common.store.to_string()));
--- a/net/tests/failures.rs
+++ b/net/tests/failures.rs
@@ -12,6 +12,8 @@
 use serde_json::json;
 
 const CHAT: &str = "/v1/chat/completions";
+/// Streams under a planned stop.
+const STREAMS: u64 = 1_000;
 const TRANSFER: &str = "/v1/tools/transfers/move";
 
 /// Sends a call through any of `entries`, again and again under its key, until
@@ -279,6 +281,83 @@
     });
 }
 
+#[test]
+fn a_planned_stop_under_a_thousand_streams_cuts_off_none() {
+    smol::block_on(async {
+        let mut site = Site::start_as(Mode::Processes, 2, 2, 0).await;
+        let slots =
+            json!({"servers": {"engine-1": {"slots": 2_000}, "engine-2": {"slots": 2_000}}});
+        let patch = json!({"id": "slots", "base": 1, "change": {"merge": slots}});
+        let applied = site
+            .operator(1)
+            .send("POST", "/v1/config/patches", &[], &patch)
+            .await;
+        assert_eq!(applied.expect("an answer").status, 200);
+        site.in_force_everywhere(2).await;
+        let held = EngineRules {
+            hold: true,
+            ..EngineRules::default()
+        };
+        for engine in &site.engines {
+            engine.set_rules(held.clone());
+        }
+        let mut leaver = site.processes.remove("entry-1").expect("it runs");
+        let body = json!({"model": "cask-7b", "stream": true,
+                          "messages": [{"role": "user", "content": "hello"}]});
+        let running = || -> u64 { site.engines.iter().map(|engine| engine.running()).sum() };
+
+        let streams = (0..STREAMS).map(|_| {
+            let (caller, body) = (site.caller(0), &body);
+            async move { caller.send("POST", CHAT, &[], body).await }
+        });
+        let stopping = async {
+            eventually("all streams run", async || running() == STREAMS).await;
+            leaver.ask_stop().await;
+            for engine in &site.engines {
+                engine.set_rules(EngineRules::default());
+            }
+            leaver.ended().await
+        };
+        let streams = futures_util::future::join_all(streams);
+        let (ends, stopped_well) = futures_lite::future::zip(streams, stopping).await;
+
+        assert!(stopped_well, "exit 0");
+        let whole = ends.iter().filter(|end| {
+            let body = end.as_ref().map(|got| got.body.as_ref());
+            body.is_ok_and(|body| body.ends_with(b"data: [DONE]\n\n"))
+        });
+        assert_eq!(whole.count() as u64, STREAMS);
+        let served: u64 = site.engines.iter().map(|engine| engine.served()).sum();
+        assert_eq!(served, STREAMS, "nothing ran twice");
+    });
+}
+
+#[test]
+fn an_abandoned_program_is_ended_and_its_cache_released() {
+    smol::block_on(async {
+        let site = Site::start(1, 1, 0).await;
+        let idle = json!({"deployments": {"register": {"program": {"idle_s": 1}}}});
+        let patch = json!({"id": "idle", "base": 1, "change": {"merge": idle}});
+        let applied = site
+            .operator(0)
+            .send("POST", "/v1/config/patches", &[], &patch)
+            .await;
+        assert_eq!(applied.expect("an answer").status, 200);
+        let program = site.open_program(0).await;
+        let got = persist(&site, &[0], &program, "m1", CHAT).await;
+        assert_eq!(got.status, 200);
+        assert!(site.engines[0].cached().contains(&program));
+
+        eventually("the cache is released", async || {
+            !site.engines[0].cached().contains(&program)
+        })
+        .await;
+        let late = persist(&site, &[0], &program, "m2", CHAT).await;
+
+        assert_eq!(late.code(), "program_ended");
+    });
+}
+
 #[test]
 fn a_leaving_server_gets_no_new_work_and_ends_what_it_has() {
     smol::block_on(async {
--- a/testutils/src/listen.rs
+++ b/testutils/src/listen.rs
@@ -5,7 +5,7 @@
 use limpetferry_net::http::Bounds;
 use limpetferry_net::http::Handler;
 use limpetferry_net::http::serve;
-use smol::net::TcpListener;
+use limpetferry_net::links::bind;
 
 /// Bounds that no test reaches.
 const BOUNDS: Bounds = Bounds {
@@ -23,9 +23,7 @@
     address: SocketAddr,
     handler: Handler,
 ) -> (SocketAddr, async_channel::Sender<()>) {
-    let listener = TcpListener::bind(address)
-        .await
-        .expect("the address is free");
+    let listener = bind("the stand-in", address).expect("the address is free");
     let address = listener.local_addr().expect("a bound listener has one");
     let (stop, stopped) = async_channel::bounded(1);
     smol::spawn(serve(listener, BOUNDS, handler, stopped)).detach();
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -82,6 +82,16 @@
     /// Panics if the system does not tell how a process ended.
     pub async fn stop(&mut self) -> bool {
         self.ask_stop().await;
+        self.ended().await
+    }
+
+    /// Waits for the end of a process that was told to stop. Returns whether
+    /// it ended well.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system does not tell how a process ended.
+    pub async fn ended(&mut self) -> bool {
         match self {
             Self::Task { task, .. } => match task.take() {
                 Some(task) => task.await.is_ok(),
