testutils: start a site's process anew if its port was taken

A process of the site had ended at its start: 'Address already in use'. Between the look for a free port and the process's bind an outgoing connection of another test takes the port, more often since one test makes a thousand connections.

Ruled out: the reading of a patch that now ends with the first failure (the trace shows a process that never listened); the key-value stand-in.

Change: the site waits until a process listens at all its addresses, and starts it with new ones if it ended instead; the last answer is told when a first patch never applies. a_leaving_server_... sent a second signal to a server that it had told to leave, which by design ends it at once with exit 3; it now waits for the end of the first, and asks for exit 0 as before.

--- a/net/tests/failures.rs
+++ b/net/tests/failures.rs
@@ -385,7 +385,7 @@
             leaver.ask_stop().await;
             let served = site.engines[0].served();
             let after = futures_util::future::join_all((0..10).map(|_| call())).await;
-            (served, after, leaver.stop().await)
+            (served, after, leaver.ended().await)
         };
         let (before, (served, after, stopped_well)) =
             futures_lite::future::zip(before, leaving).await;
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -46,7 +46,15 @@
         F: Future<Output = eyre::Result<()>> + Send + 'static,
     {
         let (stop, stopped) = async_channel::bounded(1);
-        let task = smol::spawn(run(stopped));
+        let running = run(stopped);
+        let task = smol::spawn(async move {
+            let ended = running.await;
+            if let Err(error) = &ended {
+                // Nobody may wait for its end; a test that fails shows this.
+                eprintln!("a process of the site ended: {error:#}");
+            }
+            ended
+        });
         Self::Task {
             stop,
             task: Some(task),
@@ -116,6 +124,21 @@
         }
     }
 
+    /// Returns whether it has ended.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the system does not tell.
+    pub fn has_ended(&mut self) -> bool {
+        match self {
+            Self::Task { task, .. } => task.as_ref().is_none_or(|task| task.is_finished()),
+            Self::Child(child) => child
+                .try_wait()
+                .expect("a child can be waited for")
+                .is_some(),
+        }
+    }
+
     /// Kills a process of its own; it has no time to do anything.
     ///
     /// # Panics
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -1,10 +1,12 @@
 //! A small site in one process: stand-ins, entries and side processes on
 //! loopback, for the demonstration and for tests over real sockets.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use limpetferry_lib::id::DataCentre;
 use limpetferry_lib::id::NodeId;
@@ -41,6 +43,11 @@
 /// Data centres of the site.
 const CENTRES: [&str; 3] = ["osijek", "vinkovci", "pozega"];
 
+/// Tries to start a process, each with new addresses.
+const START_TRIES: u32 = 10;
+/// Time between two looks whether a process is up.
+const LOOK_EVERY: Duration = Duration::from_millis(2);
+
 /// How the site's own processes run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Mode {
@@ -194,7 +201,7 @@
             self.add_service().await;
         }
         for _ in 0..entries {
-            self.add_entry();
+            self.add_entry().await;
         }
         self.apply_first().await;
     }
@@ -216,10 +223,41 @@
     }
 
     /// Starts an entry.
-    pub fn add_entry(&mut self) {
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not come up.
+    pub async fn add_entry(&mut self) {
+        let name = format!("entry-{}", self.entries.len() + 1);
+        for _ in 0..START_TRIES {
+            let addresses = self.start_entry(&name);
+            if self.is_up(&name, addresses.metrics).await {
+                self.entries.push(addresses);
+                self.metrics.push(addresses.metrics);
+                return;
+            }
+        }
+        panic!("{name} does not start");
+    }
+
+    /// Waits until a process that was started listens at all its addresses;
+    /// returns false if it ended instead, as it does when an outgoing
+    /// connection has taken a port that was free.
+    async fn is_up(&mut self, name: &str, metrics: SocketAddr) -> bool {
+        let caller = Caller::new(metrics, "none");
+        while !self.process(name).has_ended() {
+            let got = caller.send("GET", "/healthz", &[], &Value::Null).await;
+            if got.is_ok() {
+                return true;
+            }
+            smol::Timer::after(LOOK_EVERY).await;
+        }
+        false
+    }
+
+    fn start_entry(&mut self, name: &str) -> EntryAddresses {
         let index = self.entries.len();
-        let name = format!("entry-{}", index + 1);
-        let common = self.common(&name, index);
+        let common = self.common(name, index);
         let addresses = EntryAddresses {
             callers: free(),
             operators: free(),
@@ -233,13 +271,12 @@
             operator_keys: BTreeMap::from([(Operator::new("registrars"), OPERATOR_KEY.to_owned())]),
             limits: CallerLimits::default(),
         };
-        self.entries.push(addresses);
-        self.metrics.push(addresses.metrics);
         let process = match self.mode {
             Mode::Tasks => Process::task(|stop| limpetferry_net::entry_node::run(settings, stop)),
-            Mode::Processes => Process::spawn("limpetferry-entry", &self.folder, &name, &settings),
+            Mode::Processes => Process::spawn("limpetferry-entry", &self.folder, name, &settings),
         };
-        self.processes.insert(name, process);
+        self.processes.insert(name.to_owned(), process);
+        addresses
     }
 
     fn data_settings(&self) -> DataSettings {
@@ -248,16 +285,23 @@
         DataSettings { folder, most: 64 }
     }
 
-    fn add_side(&mut self, name: String, index: usize, server: SocketAddr) {
-        let settings = SideSettings {
-            common: self.common(&name, index),
-            server,
-            data: self.data.then(|| self.data_settings()),
-        };
-        self.vms.set(&settings.common.vm, "live");
-        self.metrics.push(settings.common.metrics);
-        self.sides.insert(name.clone(), settings);
-        self.start_side(&name);
+    async fn add_side(&mut self, name: String, index: usize, server: SocketAddr) {
+        for _ in 0..START_TRIES {
+            let settings = SideSettings {
+                common: self.common(&name, index),
+                server,
+                data: self.data.then(|| self.data_settings()),
+            };
+            let metrics = settings.common.metrics;
+            self.vms.set(&settings.common.vm, "live");
+            self.sides.insert(name.clone(), settings);
+            self.start_side(&name);
+            if self.is_up(&name, metrics).await {
+                self.metrics.push(metrics);
+                return;
+            }
+        }
+        panic!("{name} does not start");
     }
 
     /// Starts the side process `name`, anew if it ran before.
@@ -309,7 +353,7 @@
         self.stops.push(stop);
         self.engines.push(engine);
         let index = self.engines.len();
-        self.add_side(format!("engine-{index}"), index, at);
+        self.add_side(format!("engine-{index}"), index, at).await;
     }
 
     /// Starts a tool service with its side process.
@@ -319,7 +363,7 @@
         self.stops.push(stop);
         self.services.push(service);
         let index = self.services.len();
-        self.add_side(format!("tool-{index}"), index + 1, at);
+        self.add_side(format!("tool-{index}"), index + 1, at).await;
     }
 
     /// Returns the site's first document: one deployment with a model, a
@@ -386,7 +430,7 @@
                 if got.is_ok_and(|got| String::from_utf8_lossy(&got.body).contains(&line)) {
                     break;
                 }
-                smol::Timer::after(std::time::Duration::from_millis(2)).await;
+                smol::Timer::after(Duration::from_millis(2)).await;
             }
         }
     }
@@ -411,13 +455,18 @@
     pub async fn apply_first(&self) {
         let patch = json!({"id": "first", "base": 0, "change": {"merge": self.document()}});
         let operator = self.operator(0);
-        eventually("the first patch applies", async || {
+        let last = Cell::new(None);
+        let applies = async || {
             let sent = operator
                 .send("POST", "/v1/config/patches", &[], &patch)
                 .await;
-            sent.is_ok_and(|got| got.status == 200)
-        })
-        .await;
+            let done = sent.as_ref().is_ok_and(|got| got.status == 200);
+            last.set(Some(sent));
+            done
+        };
+        if !within_long(applies).await {
+            panic!("the first patch never applies: {:?}", last.take());
+        }
         for index in 0..self.entries.len() {
             let caller = self.caller(index);
             eventually("programs open at every entry", async || {
@@ -451,12 +500,17 @@
 ///
 /// Panics with `what` if it never holds.
 pub async fn eventually(what: &str, check: impl AsyncFn() -> bool) {
-    let pause = std::time::Duration::from_millis(20);
+    assert!(within_long(check).await, "never happened: {what}");
+}
+
+/// Returns whether `check` holds within a long time.
+async fn within_long(check: impl AsyncFn() -> bool) -> bool {
+    let pause = Duration::from_millis(20);
     for _ in 0..9_000 {
         if check().await {
-            return;
+            return true;
         }
         smol::Timer::after(pause).await;
     }
-    panic!("never happened: {what}");
+    false
 }
