placement: keep calls away from servers that slow down

Change: each side process measures the running time of model calls for each piece that comes and reports it with its load; placement multiplies the work at a server of twice the usual pace or more, and adds the longer run.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod rules;
 pub mod shard;
 pub mod side;
+pub mod speed;
 pub mod sse;
 mod submission;
 mod takeover;
--- a/lib/src/member.rs
+++ b/lib/src/member.rs
@@ -67,6 +67,9 @@
     pub queued: u32,
     /// Tokens that the waiting and running calls still need, as estimated.
     pub tokens: u64,
+    /// Time of a running call for each piece of an answer, in microseconds;
+    /// zero if it is not known.
+    pub pace: u32,
 }
 
 #[derive(Clone, Copy, Debug)]
--- a/lib/src/placement.rs
+++ b/lib/src/placement.rs
@@ -9,6 +9,10 @@
 pub const LOOK_AT_ALL: usize = 16;
 /// Size of the sample, beside the server that holds the program's cache.
 pub const SAMPLE: usize = 4;
+/// Times the usual pace from which a server counts as slow.
+const SLOW: f64 = 2.0;
+/// Tokens of prefill that take as long as a call usually runs.
+const RUN: f64 = 40_000.0;
 
 /// What is known of one server that could run a call.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -22,6 +26,9 @@
     pub backlog: u64,
     /// Tokens of the call's prompt that its cache is believed to hold.
     pub cached: u64,
+    /// Time of a running call for each piece of an answer, in microseconds,
+    /// as its side process measured it; zero if it is not known.
+    pub pace: u32,
 }
 
 /// What placement needs to know of a call.
@@ -106,16 +113,23 @@
     /// How many queued tokens delay a call as much as one token of its own
     /// prefill, for one slot.
     pub queue_weight: f64,
+    /// Tokens of prefill that take as long as a call usually runs.
+    pub run: f64,
 }
 
 impl Default for Affinity {
     fn default() -> Self {
-        Self { queue_weight: 0.3 }
+        Self {
+            queue_weight: 0.3,
+            run: RUN,
+        }
     }
 }
 
 impl Affinity {
-    fn cost(&self, call: &CallView, server: &ServerView) -> f64 {
+    /// Returns the cost of a call at a server; `usual` is the pace of the
+    /// servers that there are.
+    fn cost(&self, call: &CallView, server: &ServerView, usual: f64) -> f64 {
         let missing = call.prompt.saturating_sub(server.cached) as f64;
         let slots = f64::from(server.slots.max(1));
         let free = server.busy < server.slots;
@@ -124,9 +138,29 @@
         } else {
             self.queue_weight * server.backlog as f64 / slots
         };
+        let slower = slowness(server.pace, usual);
         let Weights { latency, waste } = call.weights;
-        latency * (ahead + missing) + waste * missing
+        latency * (slower * (ahead + missing) + (slower - 1.0) * self.run) + waste * missing
+    }
+}
+
+/// Returns how many times longer than usual a call takes at a server of this
+/// pace. Differences below [`SLOW`] are noise, or the calls' own.
+fn slowness(pace: u32, usual: f64) -> f64 {
+    if pace == 0 || usual <= 0.0 {
+        return 1.0;
     }
+    let ratio = f64::from(pace) / usual;
+    if ratio < SLOW { 1.0 } else { ratio }
+}
+
+/// Returns the median of the paces that are known; zero if none is.
+fn usual_pace(servers: &[ServerView]) -> f64 {
+    let mut known: Vec<u32> = servers.iter().map(|server| server.pace).collect();
+    known.retain(|pace| *pace > 0);
+    known.sort_unstable();
+    let median = known.get(known.len() / 2);
+    median.map_or(0.0, |pace| f64::from(*pace))
 }
 
 impl Placement for Affinity {
@@ -136,7 +170,8 @@
         servers: &[ServerView],
         rng: &mut dyn RngCore,
     ) -> Option<usize> {
-        let cost = |server: &ServerView| self.cost(call, server);
+        let usual = usual_pace(servers);
+        let cost = |server: &ServerView| self.cost(call, server, usual);
         if servers.len() <= LOOK_AT_ALL {
             return lowest(servers, 0..servers.len(), cost, rng);
         }
--- a/lib/src/side.rs
+++ b/lib/src/side.rs
@@ -38,6 +38,8 @@
 use crate::rules::Rules;
 use crate::shard::Block;
 use crate::shard::ShardMap;
+use crate::speed::Speed;
+
 use crate::time::Time;
 
 /// Time between two messages about oneself to each peer.
@@ -132,6 +134,8 @@
 struct Record {
     program: ProgramId,
     idempotent: bool,
+    /// Whether it runs, or ran, at a model.
+    model: bool,
     owner: NodeId,
     state: State,
     tokens: u64,
@@ -152,7 +156,12 @@
     records: BTreeMap<Key, Record>,
     queue: Queue<Key>,
     running: u32,
+    /// Calls of models among those that run.
+    models: u32,
     tokens: u64,
+    speed: Speed,
+    /// Since when `running` calls have run, as far as it was noted.
+    noted: Time,
     peers: BTreeSet<NodeId>,
     /// When each program with cache on the server was heard of last.
     cached: BTreeMap<ProgramId, Time>,
@@ -175,7 +184,10 @@
             records: BTreeMap::new(),
             queue: Queue::default(),
             running: 0,
+            models: 0,
             tokens: 0,
+            speed: Speed::default(),
+            noted: Time::default(),
             peers: BTreeSet::new(),
             cached: BTreeMap::new(),
             beat: None,
@@ -210,6 +222,7 @@
             running: self.running,
             queued: self.queue.len() as u32,
             tokens: self.tokens,
+            pace: self.speed.pace(),
         }
     }
 
@@ -461,6 +474,7 @@
         let record = Record {
             program: order.program,
             idempotent: order.idempotent,
+            model: false,
             owner: from.clone(),
             state: State::Queued { order, deadline },
             tokens,
@@ -538,6 +552,7 @@
         self.records.entry(key).or_insert_with(|| Record {
             program: ProgramId::of_single(call),
             idempotent: false,
+            model: false,
             owner: from.clone(),
             state: State::Sealed,
             tokens: 0,
@@ -611,7 +626,15 @@
         }
     }
 
+    /// Notes for how long calls of models have run, before that changes.
+    fn note_busy(&mut self, now: Time) {
+        let span = now.since(self.noted);
+        self.noted = now;
+        self.speed.note(span * self.models, 0);
+    }
+
     fn start(&mut self, now: Time, key: Key, out: &mut Vec<Effect>) {
+        self.note_busy(now);
         let Some(record) = self.records.get_mut(&key) else {
             return;
         };
@@ -628,6 +651,8 @@
         };
         self.running += 1;
         if matches!(order.target, Target::Model(_)) {
+            self.models += 1;
+            record.model = true;
             self.cached.insert(order.program, now);
         }
         let work = Work {
@@ -658,6 +683,7 @@
         let State::Running { bytes, .. } = &mut record.state else {
             return;
         };
+        self.speed.note(Duration::ZERO, 1);
         let offset = bytes.len() as u64;
         bytes.extend_from_slice(&fresh);
         let message = Message::OrderChunk {
@@ -685,8 +711,7 @@
                 // this attempt.
                 record.state = State::Sealed;
                 let owner = record.owner.clone();
-                self.running -= 1;
-                self.tokens = self.tokens.saturating_sub(record.tokens);
+                self.stopped(now, key);
                 refuse(&owner, key, OrderFault::Unreachable, out);
                 return;
             }
@@ -694,17 +719,29 @@
         self.end(now, key, outcome, out);
     }
 
+    /// Notes that a call does not run any more.
+    fn stopped(&mut self, now: Time, key: Key) {
+        self.note_busy(now);
+        if let Some(record) = self.records.get(&key) {
+            self.running -= 1;
+            self.models -= u32::from(record.model);
+            self.tokens = self.tokens.saturating_sub(record.tokens);
+        }
+    }
+
     fn end(&mut self, now: Time, key: Key, outcome: Outcome, out: &mut Vec<Effect>) {
         let Some(record) = self.records.get_mut(&key) else {
             return;
         };
         record.state = State::Done(outcome.clone());
         record.since = now;
-        self.running -= 1;
-        self.tokens = self.tokens.saturating_sub(record.tokens);
         if let Some(heard) = self.cached.get_mut(&record.program) {
             *heard = now;
         }
+        self.stopped(now, key);
+        let Some(record) = self.records.get(&key) else {
+            return;
+        };
         let message = Message::OrderDone {
             call: key.0,
             attempt: key.1,
@@ -760,10 +797,12 @@
     fn tick(&mut self, now: Time, out: &mut Vec<Effect>) {
         if self.beat.is_none_or(|last| now.since(last) >= BEAT) {
             self.beat = Some(now);
+            self.note_busy(now);
             let peers: Vec<NodeId> = self.peers.iter().cloned().collect();
             for peer in peers {
                 self.send_beat(&peer, out);
             }
+            self.speed.fade();
         }
         if now.since(self.swept) >= SWEEP {
             self.swept = now;
--- a/lib/src/turn.rs
+++ b/lib/src/turn.rs
@@ -433,6 +433,7 @@
                 busy: sent.calls.max(load.running + load.queued),
                 backlog: sent.tokens.max(load.tokens),
                 cached: if warm == Some(name) { prompt } else { 0 },
+                pace: load.pace,
             });
         }
         let view = CallView {
--- a/testutils/src/experiment.rs
+++ b/testutils/src/experiment.rs
@@ -22,6 +22,7 @@
 use limpetferry_lib::queue::Ordering;
 use limpetferry_lib::queue::Queue;
 use limpetferry_lib::queue::Waiting;
+use limpetferry_lib::speed::Speed;
 use limpetferry_lib::time::Time;
 use rand::Rng as _;
 use rand::SeedableRng as _;
@@ -241,9 +242,29 @@
     sent: [u32; ENTRIES as usize],
     backlog: [u64; ENTRIES as usize],
     reported: (u32, u64),
+    /// When each running call starts and ends its answer, and its tokens.
+    answers: BTreeMap<u64, (u64, u64, u64)>,
+    speed: Speed,
+    pace: u32,
 }
 
 impl Engine {
+    /// Does what a side process does with the pieces of the answers: those
+    /// that came since the last report, and the time for which calls ran.
+    fn measure(&mut self, now: u64) {
+        let since = now - REPORT;
+        let mut pieces = 0.0;
+        for (first, end, tokens) in self.answers.values() {
+            let (from, to) = ((*first).max(since), (*end).min(now));
+            let share = to.saturating_sub(from) as f64 / (end - first).max(1) as f64;
+            pieces += share * *tokens as f64;
+        }
+        let busy = Duration::from_micros(REPORT) * self.answers.len() as u32;
+        self.speed.note(busy, pieces as u32);
+        self.pace = self.speed.pace();
+        self.speed.fade();
+    }
+
     fn held(&self, program: u64) -> u64 {
         self.cache.get(&program).map_or(0, |(tokens, _)| *tokens)
     }
@@ -359,6 +380,7 @@
         for engine in &mut self.engines {
             let calls = engine.running + engine.queue.len();
             engine.reported = (calls as u32, engine.backlog.iter().sum());
+            engine.measure(self.now);
         }
         self.events
             .push(Reverse((self.now + REPORT, Event::Report)));
@@ -376,6 +398,7 @@
             } else {
                 0
             },
+            pace: engine.pace,
         };
         let views: Vec<ServerView> = self.engines.iter().enumerate().map(view).collect();
         let call = CallView {
@@ -427,6 +450,9 @@
             };
             let took = missing as f64 / PREFILL + program.kind.answer as f64 / DECODE;
             let at = self.now + micros(took * slower);
+            let first = self.now + micros(missing as f64 / PREFILL * slower);
+            let answer = (first, at, program.kind.answer);
+            self.engines[index].answers.insert(id, answer);
             self.events.push(Reverse((at, Event::Done(id, index))));
         }
     }
@@ -447,6 +473,7 @@
         let entry = (id % ENTRIES) as usize;
         let engine = &mut self.engines[index];
         engine.running -= 1;
+        engine.answers.remove(&id);
         engine.sent[entry] -= 1;
         engine.backlog[entry] -= need;
         engine.store(id, need, now);
