side: give the guard a file of its own

Cause: side.rs had grown to 880 lines with what data folders and the pace added; what keeps a call from running twice stood in its middle.

Change: the orders' part is lib/src/guard.rs, fields that it needs are visible in the crate; nothing else moves.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -15,6 +15,7 @@
 mod ending;
 pub mod entry;
 pub mod front;
+mod guard;
 pub mod history;
 pub mod id;
 pub mod keeper;
--- a/lib/src/side.rs
+++ b/lib/src/side.rs
@@ -26,20 +26,15 @@
 use crate::message::Message;
 use crate::message::Order;
 use crate::message::OrderFault;
-use crate::message::Standing;
 use crate::outcome::Answer;
 use crate::outcome::Outcome;
 use crate::program::Target;
 use crate::program::Urgency;
-use crate::queue::LeastAttained;
-use crate::queue::Ordering;
 use crate::queue::Queue;
-use crate::queue::Waiting;
 use crate::rules::Rules;
 use crate::shard::Block;
 use crate::shard::ShardMap;
 use crate::speed::Speed;
-
 use crate::time::Time;
 
 /// Time between two messages about oneself to each peer.
@@ -49,14 +44,11 @@
 /// How long the outcome of a non-idempotent call is held for an owner that
 /// has not confirmed it.
 const HOLD: Duration = Duration::from_secs(24 * 3600);
-/// Records of calls that are held at once.
-const MAX_RECORDS: usize = 100_000;
-/// Calls that wait at once.
-const MAX_QUEUE: usize = 1_024;
 /// Slots of a server that no document names.
 const DEFAULT_SLOTS: u32 = 8;
 
-type Key = (CallId, u64);
+/// Names one run of a call: the call and its attempt.
+pub(crate) type Key = (CallId, u64);
 
 /// How a request to the backend server ended.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -123,7 +115,7 @@
 }
 
 #[derive(Debug)]
-enum State {
+pub(crate) enum State {
     Queued { order: Box<Order>, deadline: Time },
     Running { bytes: Vec<u8>, limit: Time },
     Done(Outcome),
@@ -131,43 +123,43 @@
 }
 
 #[derive(Debug)]
-struct Record {
-    program: ProgramId,
-    idempotent: bool,
+pub(crate) struct Record {
+    pub(crate) program: ProgramId,
+    pub(crate) idempotent: bool,
     /// Whether it runs, or ran, at a model.
-    model: bool,
-    owner: NodeId,
-    state: State,
-    tokens: u64,
-    since: Time,
+    pub(crate) model: bool,
+    pub(crate) owner: NodeId,
+    pub(crate) state: State,
+    pub(crate) tokens: u64,
+    pub(crate) since: Time,
 }
 
 /// The state of a side process.
 #[derive(Debug)]
 pub struct Side {
-    node: NodeId,
-    boot: Boot,
-    rules: Rules,
-    map: ShardMap,
-    documents: Documents,
-    keeper: Keeper,
+    pub(crate) node: NodeId,
+    pub(crate) boot: Boot,
+    pub(crate) rules: Rules,
+    pub(crate) map: ShardMap,
+    pub(crate) documents: Documents,
+    pub(crate) keeper: Keeper,
     /// Whether changes of the copies are stored.
-    stores: bool,
-    records: BTreeMap<Key, Record>,
-    queue: Queue<Key>,
-    running: u32,
+    pub(crate) stores: bool,
+    pub(crate) records: BTreeMap<Key, Record>,
+    pub(crate) queue: Queue<Key>,
+    pub(crate) running: u32,
     /// Calls of models among those that run.
-    models: u32,
-    tokens: u64,
-    speed: Speed,
+    pub(crate) models: u32,
+    pub(crate) tokens: u64,
+    pub(crate) speed: Speed,
     /// Since when `running` calls have run, as far as it was noted.
-    noted: Time,
-    peers: BTreeSet<NodeId>,
+    pub(crate) noted: Time,
+    pub(crate) peers: BTreeSet<NodeId>,
     /// When each program with cache on the server was heard of last.
-    cached: BTreeMap<ProgramId, Time>,
-    beat: Option<Time>,
-    swept: Time,
-    leaving: bool,
+    pub(crate) cached: BTreeMap<ProgramId, Time>,
+    pub(crate) beat: Option<Time>,
+    pub(crate) swept: Time,
+    pub(crate) leaving: bool,
 }
 
 impl Side {
@@ -425,190 +417,6 @@
         }
     }
 
-    // Orders.
-
-    /// Returns whether an owner of this epoch may still give orders, and
-    /// refuses all earlier ones from now on.
-    fn admits(&mut self, shard: Option<(ShardId, Epoch)>) -> bool {
-        shard.is_none_or(|(shard, epoch)| self.keeper.raise(shard, epoch))
-    }
-
-    fn order(&mut self, now: Time, from: &NodeId, order: Box<Order>, out: &mut Vec<Effect>) {
-        let key = (order.call, order.attempt);
-        let admitted = self.admits(order.shard);
-        let fault = if order.boot != self.boot {
-            Some(OrderFault::OtherBoot)
-        } else if !admitted {
-            Some(OrderFault::Fenced)
-        } else if self.records.contains_key(&key) {
-            self.known(from, key, out);
-            return;
-        } else if self.leaving {
-            Some(OrderFault::Leaving)
-        } else if self.queue.len() >= MAX_QUEUE || self.records.len() >= MAX_RECORDS {
-            Some(OrderFault::Full)
-        } else {
-            None
-        };
-        if let Some(fault) = fault {
-            refuse(from, key, fault, out);
-            return;
-        }
-        let deadline = now + order.patience;
-        let waiting = Waiting {
-            arrived: now,
-            deadline,
-            urgency: order.urgency,
-            attained: order.attained,
-            deployment: order.deployment.clone(),
-        };
-        self.queue
-            .push(key, &order.deployment, LeastAttained.rank(&waiting));
-        let tokens = order.tokens
-            + order
-                .turns
-                .iter()
-                .map(|t| t.text.len() as u64 / 4)
-                .sum::<u64>();
-        self.tokens += tokens;
-        let record = Record {
-            program: order.program,
-            idempotent: order.idempotent,
-            model: false,
-            owner: from.clone(),
-            state: State::Queued { order, deadline },
-            tokens,
-            since: now,
-        };
-        self.records.insert(key, record);
-    }
-
-    /// Tells an owner what there is of an attempt, and sends it what follows.
-    fn known(&mut self, from: &NodeId, key: Key, out: &mut Vec<Effect>) {
-        let Some(record) = self.records.get_mut(&key) else {
-            return;
-        };
-        let (call, attempt) = key;
-        record.owner = from.clone();
-        let standing = match &record.state {
-            State::Done(outcome) => {
-                let outcome = outcome.clone();
-                let message = Message::OrderDone {
-                    call,
-                    attempt,
-                    outcome,
-                };
-                send(from, message, out);
-                return;
-            }
-            State::Sealed => Standing::Sealed,
-            State::Queued { .. } | State::Running { .. } => Standing::Open,
-        };
-        send(
-            from,
-            Message::Settled {
-                call,
-                attempt,
-                standing,
-            },
-            out,
-        );
-        if let State::Running { bytes, .. } = &record.state {
-            let bytes = bytes.clone();
-            let message = Message::OrderChunk {
-                call,
-                attempt,
-                offset: 0,
-                bytes,
-            };
-            send(from, message, out);
-        }
-    }
-
-    fn settle(
-        &mut self,
-        now: Time,
-        from: &NodeId,
-        shard: Option<(ShardId, Epoch)>,
-        boot: Boot,
-        key: Key,
-        out: &mut Vec<Effect>,
-    ) {
-        if !self.admits(shard) {
-            // A later owner asks for itself.
-            return;
-        }
-        let (call, attempt) = key;
-        if boot != self.boot {
-            let standing = Standing::OtherBoot;
-            let message = Message::Settled {
-                call,
-                attempt,
-                standing,
-            };
-            send(from, message, out);
-            return;
-        }
-        self.records.entry(key).or_insert_with(|| Record {
-            program: ProgramId::of_single(call),
-            idempotent: false,
-            model: false,
-            owner: from.clone(),
-            state: State::Sealed,
-            tokens: 0,
-            since: now,
-        });
-        self.known(from, key, out);
-    }
-
-    /// Stops an attempt for an owner that may still give orders.
-    fn cancel_for(
-        &mut self,
-        now: Time,
-        shard: Option<(ShardId, Epoch)>,
-        key: Key,
-        out: &mut Vec<Effect>,
-    ) {
-        if self.admits(shard) {
-            self.cancel(now, key, Code::Cancelled, out);
-        }
-    }
-
-    /// Stops an attempt that waits or runs.
-    fn cancel(&mut self, now: Time, key: Key, code: Code, out: &mut Vec<Effect>) {
-        let Some(record) = self.records.get_mut(&key) else {
-            return;
-        };
-        let (call, attempt) = key;
-        match &record.state {
-            State::Queued { .. } => {
-                record.state = State::Sealed;
-                record.since = now;
-                let owner = record.owner.clone();
-                self.tokens = self.tokens.saturating_sub(record.tokens);
-                self.queue.remove(key);
-                refuse(&owner, key, OrderFault::Late, out);
-            }
-            State::Running { .. } => {
-                let code = if record.idempotent {
-                    code
-                } else {
-                    Code::OutcomeUnknown
-                };
-                out.push(Effect::Abort { call, attempt });
-                self.end(now, key, Outcome::refused(code), out);
-            }
-            State::Done(_) | State::Sealed => {}
-        }
-    }
-
-    fn forget(&mut self, key: Key) {
-        let done = |record: &Record| matches!(record.state, State::Done(_));
-        if self.records.get(&key).is_some_and(done) {
-            self.records.remove(&key);
-        }
-    }
-
     // The backend server.
 
     fn slots(&self) -> u32 {
@@ -729,7 +537,7 @@
         }
     }
 
-    fn end(&mut self, now: Time, key: Key, outcome: Outcome, out: &mut Vec<Effect>) {
+    pub(crate) fn end(&mut self, now: Time, key: Key, outcome: Outcome, out: &mut Vec<Effect>) {
         let Some(record) = self.records.get_mut(&key) else {
             return;
         };
@@ -860,14 +668,14 @@
     }
 }
 
-fn send(to: &NodeId, message: Message, out: &mut Vec<Effect>) {
+pub(crate) fn send(to: &NodeId, message: Message, out: &mut Vec<Effect>) {
     out.push(Effect::Send {
         to: to.clone(),
         message,
     });
 }
 
-fn refuse(to: &NodeId, key: Key, fault: OrderFault, out: &mut Vec<Effect>) {
+pub(crate) fn refuse(to: &NodeId, key: Key, fault: OrderFault, out: &mut Vec<Effect>) {
     let message = Message::OrderRefused {
         call: key.0,
         attempt: key.1,
