--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -262,7 +262,7 @@
             let note = Note::new("stop_cut_short")
                 .with("running", self.side.load().running)
                 .with("records", self.side.records());
-            crate::log::note(self.settings.common.node.as_str(), &note);
+            self.note(&note);
         }
         over
     }
@@ -360,7 +360,7 @@
                 self.running.remove(&(call, attempt));
             }
             Effect::Release { program } => self.release(program),
-            Effect::Note(note) => crate::log::note(self.settings.common.node.as_str(), &note),
+            Effect::Note(note) => self.note(&note),
             Effect::Store(record) => self.store_copy(&record),
             // For entries only.
             Effect::Chunk { .. }
--- a/net/tests/silence.rs
+++ b/net/tests/silence.rs
@@ -41,6 +41,21 @@
     panic!("the call never ended");
 }
 
+/// Sends a call by a connection of its own, and reads nothing.
+async fn send_raw(site: &Site, body: &str) -> TcpStream {
+    let request = format!(
+        "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    let mut stream = TcpStream::connect(site.entries[0].callers)
+        .await
+        .expect("the entry listens");
+    let sent = stream.write_all(request.as_bytes()).await;
+    sent.expect("the entry takes it");
+    stream
+}
+
 /// Makes the connections to the tool's side process silent while a transfer
 /// runs, and returns its end with the number of runs.
 async fn transfer_over_silence(way: Way) -> (Got, u64) {
@@ -130,19 +145,9 @@
         let body = json!({"model": "cask-7b", "stream": true, "max_tokens": 500,
                           "messages": [{"role": "user", "content": "hello"}]})
         .to_string();
-        let request = format!(
-            "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
-             content-length: {}\r\n\r\n{body}",
-            body.len()
-        );
         let mut slow = Vec::new();
         for _ in 0..40 {
-            let mut stream = TcpStream::connect(site.entries[0].callers)
-                .await
-                .expect("the entry listens");
-            let sent = stream.write_all(request.as_bytes()).await;
-            sent.expect("the entry takes it");
-            slow.push(stream);
+            slow.push(send_raw(&site, &body).await);
         }
         let question = json!({"model": "cask-7b", "max_tokens": 4,
                               "messages": [{"role": "user", "content": "hello"}]});
@@ -176,16 +181,7 @@
         let body = json!({"model": "cask-7b", "stream": true,
                           "messages": [{"role": "user", "content": "hello"}]})
         .to_string();
-        let request = format!(
-            "POST {CHAT} HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {CALLER_KEY}\r\n\
-             content-length: {}\r\n\r\n{body}",
-            body.len()
-        );
-        let mut stream = TcpStream::connect(site.entries[0].callers)
-            .await
-            .expect("the entry listens");
-        let sent = stream.write_all(request.as_bytes()).await;
-        sent.expect("the entry takes it");
+        let stream = send_raw(&site, &body).await;
         eventually("the call runs", async || site.engines[0].running() == 1).await;
 
         let closed = stream.shutdown(std::net::Shutdown::Write);
