platform: resume at the same server, let dead keepers leave the list, copy by digests

Change: a stream goes on at the same server while that one takes connections; a keeper that is silent for 3 s leaves the list if 2f+1 stay; a keeper copies each other one once, by digests of programs; turns are refused after 0.3 s without a majority; a watch with a missing revision is read anew.

--- a/lib/src/ask.rs
+++ b/lib/src/ask.rs
@@ -9,6 +9,7 @@
 use crate::ledger::Finish;
 use crate::ledger::Link;
 use crate::ledger::Presence;
+use crate::ledger::ProgramDigest;
 use crate::ledger::Record;
 use crate::membership::Membership;
 use crate::opening::View;
@@ -50,14 +51,19 @@
         /// The latest turn.
         turn: Arc<str>,
     },
-    /// Give the records of the programs after `after`, in the order of their
+    /// Give the digests of the programs after `after`, in the order of their
     /// ids.
-    Pull {
-        /// The last program that the asker has.
+    Digests {
+        /// The last program that the asker has a digest of.
         after: Option<Arc<str>>,
         /// The list as the asker knows it; older ones no longer hold.
         membership: Membership,
     },
+    /// Give the records of programs.
+    Records {
+        /// The programs.
+        programs: Vec<Arc<str>>,
+    },
 }
 
 /// What a keeper answers.
@@ -81,14 +87,21 @@
         /// It and those before it.
         links: Vec<Link>,
     },
-    /// Records for a keeper that catches up.
-    Pulled {
+    /// Digests for a keeper that catches up.
+    Digests {
         /// Whether the giver has everything that it ever acknowledged.
         whole: bool,
+        /// The programs.
+        programs: Vec<ProgramDigest>,
+        /// Whether there are more after the last one.
+        more: bool,
+    },
+    /// Records for a keeper that catches up, of the first programs asked for.
+    Records {
         /// The records.
         records: Vec<Record>,
-        /// The last program given, if there are more.
-        next: Option<Arc<str>>,
+        /// How many programs they belong to.
+        programs: usize,
     },
     /// The asker goes by an old list.
     Stale(Membership),
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -103,6 +103,15 @@
     Unsure,
 }
 
+/// What a keeper has of one program, short enough to compare many.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ProgramDigest {
+    /// Id of the program.
+    pub program: Arc<str>,
+    /// The same for the same beginnings and ends of turns, in any order.
+    pub digest: u64,
+}
+
 #[derive(Clone, Debug)]
 struct Turn {
     program: Arc<str>,
@@ -270,6 +279,37 @@
         records
     }
 
+    /// Returns the digest of what is here of a program, zero if nothing is.
+    pub fn digest(&self, program: &str) -> u64 {
+        let turns = self.programs.get(program).map(|program| &program.turns);
+        let each = turns.into_iter().flatten().map(|id| {
+            let turn = &self.turns[id];
+            let begun = u64::from(turn.begin.is_some());
+            let ended = u64::from(turn.finish.is_some());
+            let mark = begun + 2 * ended;
+            hash(id).wrapping_mul(2 * mark + 1)
+        });
+        each.fold(0, u64::wrapping_add)
+    }
+
+    /// Returns digests of at most `most` programs after `after`, in the order
+    /// of their ids, and whether there are more.
+    pub fn digests(&self, after: Option<&str>, most: usize) -> (Vec<ProgramDigest>, bool) {
+        let mut programs: Vec<&Arc<str>> = self
+            .programs
+            .keys()
+            .filter(|program| after.is_none_or(|after| ***program > *after))
+            .collect();
+        programs.sort_unstable();
+        let more = programs.len() > most;
+        programs.truncate(most);
+        let digests = programs.into_iter().map(|program| ProgramDigest {
+            program: program.clone(),
+            digest: self.digest(program),
+        });
+        (digests.collect(), more)
+    }
+
     /// Returns the bytes of all texts.
     pub fn bytes(&self) -> usize {
         self.bytes
@@ -286,6 +326,16 @@
     }
 }
 
+/// FNV-1a over the id, its bits spread so that sums of them do not collide by
+/// their form.
+fn hash(id: &str) -> u64 {
+    let hash = id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    let mixed = (hash ^ (hash >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
+    mixed ^ (mixed >> 32)
+}
+
 fn fill<T>(slot: &mut Option<T>, value: T) -> bool {
     let new = slot.is_none();
     slot.get_or_insert(value);
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -220,12 +220,12 @@
     }
 
     async fn resume(&mut self, failure: Failure) -> Result<(), Refusal> {
-        let lease = self.lease.take();
-        if let Some(lease) = lease {
+        let mut same = None;
+        if let Some(lease) = self.lease.take() {
             self.job
                 .gateway
                 .attempt_failed(&self.job.call.attempt, lease.key, &failure);
-            self.tried.push(lease.key);
+            same = Some(lease.key);
             let late = matches!(failure, Failure::Late);
             lease.end(
                 if late {
@@ -248,7 +248,17 @@
         };
         let job = self.job.clone();
         let last = self.last_event;
-        let started = job.start(&mut self.tried, &mut self.runs, last).await?;
+        let again = match same {
+            Some(key) => job.start_again(key, last).await,
+            None => None,
+        };
+        let started = match again {
+            Some(started) => started,
+            None => {
+                self.tried.extend(same);
+                job.start(&mut self.tried, &mut self.runs, last).await?
+            }
+        };
         if started.head.status != StatusCode::OK {
             return Err(Refusal::new(
                 StatusCode::BAD_GATEWAY,
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -170,7 +170,7 @@
         boot: Boot(rand::random()),
         key: common.key_digest(),
     };
-    let replicas = Replicas::new(hello);
+    let replicas = Replicas::new(hello, clock);
     let turns = Turns::new(site.clone(), replicas.clone(), common.faults, clock);
     let gateway = Arc::new(Gateway {
         node: common.node.clone(),
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -41,8 +41,9 @@
 /// What answers the requests of a listener.
 pub type Handler = Arc<dyn Fn(Request<Incoming>) -> Answering + Send + Sync>;
 
-/// Wait for a connection to a server.
-const CONNECT_WAIT: Duration = Duration::from_secs(1);
+/// Wait for a connection to a server: a hundred times the way between data
+/// centres, and short enough to try another server in time.
+const CONNECT_WAIT: Duration = Duration::from_millis(350);
 /// Wait for the headers of a request.
 const HEADER_WAIT: Duration = Duration::from_secs(10);
 /// Headers of one request.
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -1,7 +1,6 @@
 //! A keeper's part in the list of keepers: it joins, catches up, and leaves
 //! when the operator asks for it.
 
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -14,11 +13,10 @@
 use limpetferry_lib::ask::Question;
 use limpetferry_lib::ask::Reply;
 use limpetferry_lib::effect::Note;
-use limpetferry_lib::ledger::Record;
+use limpetferry_lib::ledger::ProgramDigest;
 use limpetferry_lib::membership::Keeper as Listed;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::membership::Standing;
-use limpetferry_lib::time::Time;
 use limpetferry_platform::document;
 use limpetferry_platform::document::RetireState;
 use limpetferry_platform::store::Item;
@@ -29,7 +27,6 @@
 use crate::keeper_node::Keeper;
 use crate::platform_store::PlatformError;
 use crate::platform_store::PlatformStore;
-use crate::replicas::Heard;
 use crate::replicas::Replicas;
 use crate::site::KEEPERS_KEY;
 use crate::timeout::within;
@@ -44,10 +41,12 @@
 const STEP_EVERY: Duration = Duration::from_millis(100);
 /// Wait for one answer of a keeper that is copied from.
 const PULL_WAIT: Duration = Duration::from_millis(1_000);
-/// How long a keeper that joins waits for one that does not answer before it
-/// asks for that one to leave the list. A process that was killed is back
-/// well within it.
-const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
+/// How long a keeper is silent before another one takes it off the list, if
+/// enough are left without it: a new VM counts as in its place some five
+/// seconds after it came, and a process that was killed is back sooner.
+const REPLACE_AFTER: Duration = Duration::from_millis(3_000);
+/// Programs asked for at once.
+const FETCH: usize = 256;
 
 /// Follows the list of keepers for one of them.
 pub struct KeeperList {
@@ -57,20 +56,14 @@
     address: SocketAddr,
     faults: usize,
     retiring: AtomicBool,
+    /// Keepers from which all was copied, with the epoch of the list.
+    copied: Mutex<HashSet<(u64, Arc<str>)>>,
     /// What the operator was last told of the emptying.
     reported: Mutex<Option<RetireState>>,
     /// Revision of the list in the store.
     revision: AtomicU64,
 }
 
-/// How copying from the other keepers went.
-enum CatchUp {
-    /// Everything that counts is here and on disk.
-    Done,
-    /// These keepers did not answer.
-    Missing(Vec<Arc<str>>),
-}
-
 impl KeeperList {
     /// Makes the part of `keeper`.
     pub fn new(
@@ -85,6 +78,7 @@
             address: settings.common.peers,
             faults: settings.common.faults,
             retiring: false.into(),
+            copied: Mutex::default(),
             reported: Mutex::default(),
             revision: 0.into(),
         })
@@ -96,10 +90,9 @@
         smol::spawn(self.clone().watch(OWN_PREFIX)).detach();
         smol::spawn(self.clone().watch(document::RETIRE_PREFIX)).detach();
         let mut store = PlatformStore::new(self.store);
-        let mut silent_since = HashMap::new();
         let mut wait = FIRST_WAIT;
         loop {
-            match self.step(&mut store, &mut silent_since).await {
+            match self.step(&mut store).await {
                 Ok(()) => {
                     wait = FIRST_WAIT;
                     smol::Timer::after(STEP_EVERY).await;
@@ -191,7 +184,6 @@
     async fn step(
         &self,
         store: &mut PlatformStore,
-        silent_since: &mut HashMap<Arc<str>, Time>,
     ) -> Result<(), PlatformError> {
         let order = Ordering::Relaxed;
         if self.revision.load(order) == 0 {
@@ -220,27 +212,23 @@
             return Ok(());
         }
         if whole && (own.ready || !membership.is_changing()) {
-            return Ok(());
+            return self.replace_silent(store, &membership).await;
         }
         // A keeper that joins never held a program by this list.
         let had = own.standing == Standing::Member && !whole;
-        match self.catch_up(&membership, had).await {
-            CatchUp::Done => {
-                silent_since.clear();
-                if !whole {
-                    self.set_whole().await;
-                }
-                self.swap(store, membership.ready(node)).await
-            }
-            CatchUp::Missing(silent) => {
-                self.replace_silent(store, &membership, silent, silent_since)
-                    .await
+        if self.catch_up(&membership, had).await {
+            if !whole {
+                self.set_whole().await;
             }
+            return self.swap(store, membership.ready(node)).await;
         }
+        self.replace_silent(store, &membership).await
     }
 
-    /// Copies what the other keepers have and this one has to hold.
-    async fn catch_up(&self, membership: &Membership, had: bool) -> CatchUp {
+    /// Copies what the other keepers have and this one has to hold. What was
+    /// copied from a keeper in this life of the process and by this list is
+    /// not copied again: what came since came here too.
+    async fn catch_up(&self, membership: &Membership, had: bool) -> bool {
         let node = self.keeper.node.as_str();
         let others = membership.keepers.iter();
         let others: Vec<Arc<str>> = others
@@ -248,69 +236,101 @@
             .map(|other| other.node.clone())
             .collect();
         let may_miss = membership.may_miss(node, had, self.faults);
-        let start = self.keeper.clock.now();
-        let mut missing = Vec::new();
-        let mut count = 0;
+        let mut missing = 0;
         for other in &others {
-            match self.pull(other, membership).await {
-                Some(records) => count += records,
-                None => missing.push(other.clone()),
+            let copied = (membership.epoch, other.clone());
+            if self.copied.lock().expect("no panic while locked").contains(&copied) {
+                continue;
             }
+            let start = self.keeper.clock.now();
+            let Some(records) = self.copy(other, membership).await else {
+                missing += 1;
+                continue;
+            };
+            let note = Note::new("copied")
+                .with("keeper", other)
+                .with("epoch", membership.epoch)
+                .with("records", records)
+                .with("may_miss", may_miss)
+                .with("millis", self.keeper.clock.now().since(start).as_millis());
+            self.keeper.note(note);
+            let mut all = self.copied.lock().expect("no panic while locked");
+            all.retain(|(epoch, _)| *epoch == membership.epoch);
+            all.insert(copied);
         }
-        let note = Note::new("caught_up")
-            .with("epoch", membership.epoch)
-            .with("records", count)
-            .with("missing", missing.len())
-            .with("may_miss", may_miss)
-            .with("millis", self.keeper.clock.now().since(start).as_millis());
-        self.keeper.note(note);
-        if missing.len() > may_miss {
-            return CatchUp::Missing(missing);
-        }
-        CatchUp::Done
+        missing <= may_miss
     }
 
-    /// Copies from one keeper; `None` if it does not answer or may itself lack
-    /// something.
-    async fn pull(&self, other: &str, membership: &Membership) -> Option<usize> {
-        let mut after = None;
+    /// Copies from one keeper the programs of which it has something that this
+    /// one lacks, and returns the number of records; `None` if it does not
+    /// answer or may itself lack something.
+    async fn copy(&self, other: &str, membership: &Membership) -> Option<usize> {
+        let mut after: Option<Arc<str>> = None;
         let mut count = 0;
-        let mut had = HashSet::new();
         loop {
-            let (sender, heard) = async_channel::unbounded();
-            let question = Question::Pull {
+            let question = Question::Digests {
                 after: after.clone(),
                 membership: membership.clone(),
             };
-            if !self.replicas.ask(other, question, &sender) {
+            let Some(Reply::Digests {
+                whole: true,
+                programs,
+                more,
+            }) = self.ask(other, question).await
+            else {
                 return None;
+            };
+            after = programs.last().map(|last| last.program.clone());
+            let wanted = self.lacking(programs, membership);
+            count += self.fetch(other, &wanted).await?;
+            if !more {
+                return Some(count);
             }
-            let Some(Ok(Heard {
-                reply:
-                    Some(Reply::Pulled {
-                        whole: true,
-                        records,
-                        next,
-                    }),
-                ..
-            })) = within(PULL_WAIT, heard.recv()).await
+        }
+    }
+
+    fn lacking(&self, theirs: Vec<ProgramDigest>, membership: &Membership) -> Vec<Arc<str>> {
+        let state = self.keeper.state();
+        let own = |program: &str| {
+            let replicas = membership.replicas(program, self.faults);
+            let mut places = replicas.keepers.iter();
+            places.any(|&at| *membership.keepers[at].node == *self.keeper.node)
+        };
+        let wanted = theirs.into_iter().filter(|their| {
+            own(&their.program) && state.ledger.digest(&their.program) != their.digest
+        });
+        wanted.map(|their| their.program).collect()
+    }
+
+    async fn fetch(&self, other: &str, mut programs: &[Arc<str>]) -> Option<usize> {
+        let mut count = 0;
+        while !programs.is_empty() {
+            let first = &programs[..programs.len().min(FETCH)];
+            let question = Question::Records {
+                programs: first.to_vec(),
+            };
+            let reply = self.ask(other, question).await;
+            let Some(Reply::Records {
+                records,
+                programs: done @ 1..,
+            }) = reply
             else {
                 return None;
             };
-            let wanted = |record: &Record| {
-                let replicas = membership.replicas(record.program(), self.faults);
-                let mut places = replicas.keepers.iter();
-                places.any(|&at| *membership.keepers[at].node == *self.keeper.node)
-            };
-            let records: Vec<Record> = records.into_iter().filter(wanted).collect();
             count += records.len();
             self.keeper.keep(records, None);
-            match next {
-                Some(next) if had.insert(next.clone()) => after = Some(next),
-                Some(_) => return None,
-                None => return Some(count),
-            }
+            programs = programs.get(done..).unwrap_or(&[]);
+        }
+        Some(count)
+    }
+
+    async fn ask(&self, other: &str, question: Question) -> Option<Reply> {
+        let (sender, heard) = async_channel::unbounded();
+        if !self.replicas.ask(other, question, &sender) {
+            return None;
         }
+        let heard = within(PULL_WAIT, heard.recv()).await?.ok()?;
+        heard.reply
     }
 
     async fn set_whole(&self) {
@@ -322,35 +342,27 @@
         }
     }
 
-    /// Asks for keepers to leave that did not answer for long, if enough are
-    /// left without them.
+    /// Takes a keeper off the list that was silent for long, if enough are
+    /// left without it.
     async fn replace_silent(
         &self,
         store: &mut PlatformStore,
         membership: &Membership,
-        silent: Vec<Arc<str>>,
-        silent_since: &mut HashMap<Arc<str>, Time>,
     ) -> Result<(), PlatformError> {
-        let now = self.keeper.clock.now();
-        silent_since.retain(|node, _| silent.contains(node));
-        let joins = |keeper: &Listed| {
-            *keeper.node == *self.keeper.node && keeper.standing == Standing::Joining
-        };
-        if !membership.keepers.iter().any(joins) {
+        let staying = membership.keepers.iter();
+        let staying: Vec<&Listed> = staying
+            .filter(|keeper| keeper.standing != Standing::Leaving)
+            .collect();
+        if staying.len() <= 2 * self.faults + 1 {
             return Ok(());
         }
-        for node in silent {
-            let since = *silent_since.entry(node.clone()).or_insert(now);
-            let staying = membership.keepers.iter();
-            let staying = staying.filter(|keeper| keeper.standing != Standing::Leaving);
-            let enough = staying.count() > 2 * self.faults + 1;
-            if enough && now.since(since) > REPLACE_AFTER {
-                self.keeper
-                    .note(Note::new("keeper_replaced").with("keeper", &node));
-                return self.swap(store, membership.leave(&node)).await;
-            }
-        }
-        Ok(())
+        let silent = self.replicas.silent_for(REPLACE_AFTER);
+        let Some(gone) = staying.iter().find(|keeper| silent.contains(&keeper.node)) else {
+            return Ok(());
+        };
+        self.keeper
+            .note(Note::new("keeper_replaced").with("keeper", &gone.node));
+        self.swap(store, membership.leave(&gone.node)).await
     }
 
     async fn retire(
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -43,6 +43,8 @@
 const SMALL: u64 = 64 << 20;
 /// Bytes of records in one answer to a keeper that catches up.
 const PULL_BYTES: usize = 512 << 10;
+/// Digests in one answer: some 60 kB.
+const MAX_DIGESTS: usize = 2_048;
 /// Wait before a listener that failed is asked again.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Part of the disk's bound that is left for rewriting.
@@ -162,10 +164,17 @@
             }
             Question::Look { program, turn } => Reply::Seen(self.view(&program, &turn, None)),
             Question::Chain { turn } => self.chain(&turn),
-            Question::Pull { after, membership } => {
+            Question::Digests { after, membership } => {
                 self.take_membership(membership);
-                self.pulled(after.as_deref())
+                let state = self.state();
+                let (programs, more) = state.ledger.digests(after.as_deref(), MAX_DIGESTS);
+                Reply::Digests {
+                    whole: state.whole,
+                    programs,
+                    more,
+                }
             }
+            Question::Records { programs } => self.records(&programs),
         };
         // The asker may have left.
         let _ = sender.try_send(KeeperMessage::Tell(ticket, reply));
@@ -206,18 +215,12 @@
         }
     }
 
-    /// Gives records of the programs after `after`, up to a bound of bytes.
-    fn pulled(&self, after: Option<&str>) -> Reply {
+    /// Gives the records of programs, up to a bound of bytes.
+    fn records(&self, programs: &[Arc<str>]) -> Reply {
         let state = self.state();
-        let mut programs: Vec<&Arc<str>> = state
-            .ledger
-            .programs()
-            .filter(|program| after.is_none_or(|after| ***program > *after))
-            .collect();
-        programs.sort_unstable();
         let mut records = Vec::new();
         let mut bytes = 0;
-        let mut next = None;
+        let mut count = 0;
         for program in programs {
             if bytes > PULL_BYTES {
                 break;
@@ -225,12 +228,11 @@
             let more = state.ledger.records(program);
             bytes += more.iter().map(Record::size).sum::<usize>();
             records.extend(more);
-            next = Some(program.clone());
+            count += 1;
         }
-        Reply::Pulled {
-            whole: state.whole,
-            next: next.filter(|_| bytes > PULL_BYTES),
+        Reply::Records {
             records,
+            programs: count,
         }
     }
 
@@ -359,7 +361,7 @@
         .wrap_err_with(|| format!("cannot listen on {}; set common.peers", common.peers))?;
     smol::spawn(keeper.clone().listen(listener, hello.clone())).detach();
     smol::spawn(keeper.clone().expire()).detach();
-    let list = KeeperList::new(keeper.clone(), Replicas::new(hello), &settings);
+    let list = KeeperList::new(keeper.clone(), Replicas::new(hello, clock), &settings);
     smol::spawn(list.follow()).detach();
     let _ = stop.recv().await;
     log::note(&common.node, &Note::new("stopped").with("role", "keeper"));
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -47,6 +47,8 @@
 /// When to come back while too few keepers answer: one is back in some
 /// hundred milliseconds.
 const RETRY_KEEPERS: Duration = Duration::from_millis(250);
+/// Pause before a server that is full is asked again to go on with a stream.
+const SAME_PAUSE: Duration = Duration::from_millis(40);
 /// Time left below which a request is not sent any more.
 const LEAST_LEFT: Duration = Duration::from_millis(5);
 
@@ -372,10 +374,21 @@
 
     fn pick(&self, tried: &[ServerKey]) -> Option<Lease> {
         let wish = self.wish(tried);
+        let key = {
+            let known = self.gateway.site.known();
+            known.fleet.pick(self.now(), &self.service, &wish)?
+        };
+        self.lease(key)
+    }
+
+    /// Notes that the request goes to a server; `None` if it takes none.
+    fn lease(&self, key: ServerKey) -> Option<Lease> {
         let mut known = self.gateway.site.known();
-        let key = known.fleet.pick(self.now(), &self.service, &wish)?;
+        if !known.fleet.takes(key) {
+            return None;
+        }
         let server = known.fleet.server(key)?.id.clone();
-        known.fleet.begin(key, &wish);
+        known.fleet.begin(key, &self.wish(&[]));
         Some(Lease {
             gateway: self.gateway.clone(),
             key,
@@ -447,6 +460,34 @@
         }
     }
 
+    /// Sends a stream that broke off to the same server, for what comes after
+    /// `last_event`. The route's attempts count servers, and a server that
+    /// lives still has the prompt in its memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns `None` if the server is gone or takes nothing, and the stream
+    /// may go on at another one.
+    pub async fn start_again(&self, key: ServerKey, last_event: Option<u64>) -> Option<Started> {
+        let mut tries = 0;
+        while self.left() > LEAST_LEFT {
+            let lease = self.lease(key)?;
+            match self.send(lease, last_event).await {
+                Ok(started) => return Some(started),
+                Err(failure) => {
+                    self.gateway.attempt_failed(&self.call.attempt, key, &failure);
+                    tries += 1;
+                    let full = matches!(failure, Failure::NotRun(_));
+                    if !full || tries > MAX_REFUSALS {
+                        return None;
+                    }
+                    smol::Timer::after(SAME_PAUSE).await;
+                }
+            }
+        }
+        None
+    }
+
     /// Returns whether a request that may have run `runs` times may run again.
     fn may_repeat(&self, runs: u32) -> bool {
         match self.route.kind {
--- a/net/src/replicas.rs
+++ b/net/src/replicas.rs
@@ -13,7 +13,9 @@
 use limpetferry_lib::effect::Note;
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::membership::Membership;
+use limpetferry_lib::time::Time;
 
+use crate::clock::Clock;
 use crate::log;
 use crate::peer;
 use crate::peer::Hello;
@@ -40,6 +42,8 @@
     address: String,
     /// The link, while it is up.
     sender: Option<async_channel::Sender<KeeperMessage>>,
+    /// Since when the link has been as it is now.
+    since: Time,
     pending: HashMap<Ticket, HeardSender>,
     task: smol::Task<()>,
 }
@@ -53,14 +57,16 @@
 /// Links to all keepers.
 pub struct Replicas {
     hello: Hello,
+    clock: Clock,
     inner: Mutex<Inner>,
 }
 
 impl Replicas {
     /// Makes the links of a process.
-    pub fn new(hello: Hello) -> Arc<Self> {
+    pub fn new(hello: Hello, clock: Clock) -> Arc<Self> {
         Arc::new(Self {
             hello,
+            clock,
             inner: Mutex::default(),
         })
     }
@@ -105,6 +111,7 @@
             let dialled = Dialled {
                 address,
                 sender: None,
+                since: self.clock.now(),
                 pending: HashMap::new(),
                 task,
             };
@@ -139,6 +146,32 @@
         true
     }
 
+    /// Returns whether there is a link to a keeper.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn is_linked(&self, node: &str) -> bool {
+        let inner = self.inner();
+        let dialled = inner.keepers.get(node);
+        dialled.is_some_and(|dialled| dialled.sender.is_some())
+    }
+
+    /// Returns the keepers to which there has been no link for `wait`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn silent_for(&self, wait: Duration) -> Vec<Arc<str>> {
+        let now = self.clock.now();
+        let inner = self.inner();
+        let silent = inner
+            .keepers
+            .iter()
+            .filter(|(_, dialled)| dialled.sender.is_none() && now.since(dialled.since) > wait);
+        silent.map(|(node, _)| node.clone()).collect()
+    }
+
     async fn keep_dialling(self: Arc<Self>, node: Arc<str>, address: String) {
         let mut wait = FIRST_WAIT;
         let mut told = false;
@@ -171,6 +204,7 @@
         let (sender, outgoing) = async_channel::unbounded();
         if let Some(dialled) = self.inner().keepers.get_mut(node) {
             dialled.sender = Some(sender);
+            dialled.since = self.clock.now();
         }
         self.note(Note::new("keeper_regained").with("keeper", node));
         let (incoming, replies) = async_channel::unbounded();
@@ -185,6 +219,7 @@
         let pending = match self.inner().keepers.get_mut(node) {
             Some(dialled) => {
                 dialled.sender = None;
+                dialled.since = self.clock.now();
                 std::mem::take(&mut dialled.pending)
             }
             None => HashMap::new(),
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -12,6 +12,7 @@
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::routing::Routing;
 use limpetferry_platform::document;
+use limpetferry_platform::store::Changes;
 use limpetferry_platform::store::Item;
 use limpetferry_platform::store::ReplyError;
 
@@ -128,6 +129,9 @@
         let revision = self.known().revision;
         let changes = store.watch("", revision).await?;
         let lapsed = self.back(away, changes.revision);
+        if !is_gapless(revision, &changes) {
+            return Err(PlatformError::Reply(ReplyError::Compacted));
+        }
         for item in changes.items {
             self.apply(item, lapsed);
         }
@@ -273,3 +277,17 @@
         }
     }
 }
+
+/// Returns whether changes after `revision` hold every revision up to their
+/// own. The watch is for all keys, so one that is missing was dropped on the
+/// way, and with it, it may be, a version of the routing.
+fn is_gapless(revision: u64, changes: &Changes) -> bool {
+    let mut expected = revision + 1;
+    for item in &changes.items {
+        if item.revision > expected {
+            return false;
+        }
+        expected = expected.max(item.revision + 1);
+    }
+    changes.revision < expected
+}
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -28,9 +28,12 @@
 
 /// Time between looks for keepers that are back and were not asked yet.
 const ASK_AGAIN: Duration = Duration::from_millis(60);
-/// Longest wait for keepers before a turn is given up: more than a keeper
-/// needs to be back after its process ended.
-const OPEN_WAIT: Duration = Duration::from_millis(1_200);
+/// Longest wait for keepers before a turn is refused: longer than a slow disk
+/// or a link that is dialled anew, and short against a program's time, so that
+/// its caller may come back.
+const OPEN_WAIT: Duration = Duration::from_millis(300);
+/// Longest wait for the first event of a turn that runs to become durable.
+const DURABLE_WAIT: Duration = Duration::from_millis(1_000);
 /// Longest wait for the end of a turn to be on disk.
 const END_WAIT: Duration = Duration::from_millis(2_500);
 /// Text of turns remembered in a gateway, in bytes: some 600 programs of the
@@ -248,7 +251,7 @@
                 self.site.take_keepers(membership, 0);
                 return None;
             }
-            Some(Reply::Chain { .. } | Reply::Pulled { .. }) => return Some(Verdict::Wait),
+            Some(Reply::Chain { .. } | Reply::Digests { .. } | Reply::Records { .. }) => return Some(Verdict::Wait),
             Some(Reply::Failed(_)) | None => {
                 round.asked.remove(&at);
                 round.noted.remove(&at);
@@ -393,7 +396,7 @@
     /// of the turn may go to the caller then.
     pub async fn durable(&mut self) -> Result<(), TurnRefusal> {
         let turns = self.turns.clone();
-        let limit = turns.clock.now() + OPEN_WAIT;
+        let limit = turns.clock.now() + DURABLE_WAIT;
         while !self.round.opening.is_durable() {
             turns.ask_missing(&mut self.round, &self.begin);
             let left = limit.since(turns.clock.now());
