gateway: say so when too few keepers are within reach

A watch that went on where a broken one had ended missed a version of the routing. Ruled out: relaying through another gateway (gateways do not know each other, and callers' retries reach others anyway). Change: a gateway without links to enough keepers for 0.5 s is not ready, closes callers' connections with their next answer, and refuses at once with a short Retry-After. After any failed watch everything is read anew.

--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -35,8 +35,9 @@
 use crate::site::Site;
 use crate::turns::Turns;
 
-/// Time between looks for connections that were idle for too long.
-const EXPIRE_EVERY: Duration = Duration::from_millis(500);
+/// Time between looks for connections that were idle for too long, and for
+/// the keepers within reach.
+const EXPIRE_EVERY: Duration = Duration::from_millis(250);
 /// How long a stopping process goes on taking connections: the platform asks
 /// once a second whether it is ready and believes the second refusal.
 const LINGER: Duration = Duration::from_millis(2_600);
@@ -62,6 +63,7 @@
     /// Turns of programs.
     pub turns: Arc<Turns>,
     stopping: AtomicBool,
+    in_touch: AtomicBool,
 }
 
 impl Gateway {
@@ -71,11 +73,26 @@
     }
 
     fn is_ready(&self) -> bool {
-        if self.is_stopping() {
-            return false;
+        !self.is_stopping() && self.in_touch.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether callers do better with another gateway, and are to
+    /// leave with their next answer.
+    pub fn turns_callers_away(&self) -> bool {
+        !self.is_ready()
+    }
+
+    /// Looks again whether it has what it needs to serve.
+    fn look(&self) {
+        let known = {
+            let known = self.site.known();
+            known.routing.is_some() && known.keepers.open
+        };
+        let now = known && self.turns.is_in_reach();
+        if self.in_touch.swap(now, Ordering::Relaxed) != now {
+            let note = Note::new(if now { "ready" } else { "not_ready" });
+            self.note(note.with("known", known));
         }
-        let known = self.site.known();
-        known.routing.is_some() && known.keepers.open
     }
 
     fn note(&self, note: Note) {
@@ -147,6 +164,7 @@
     async fn expire(self: Arc<Self>) {
         loop {
             smol::Timer::after(EXPIRE_EVERY).await;
+            self.look();
             let known = self.site.known();
             let ids: std::collections::HashSet<Arc<str>> = known.fleet.ids().cloned().collect();
             drop(known);
@@ -180,6 +198,7 @@
         pool: Pool::default(),
         turns,
         stopping: AtomicBool::new(false),
+        in_touch: AtomicBool::new(false),
     });
     let note = Note::new("started").with("role", "gateway");
     gateway.note(note.with("callers", settings.callers));
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -151,6 +151,7 @@
                 }
                 Err(_) => {}
             }
+            revision = None;
             let jitter = rand::random_range(0.5..1.5);
             smol::Timer::after(wait.mul_f64(jitter)).await;
             wait = (wait * 2).min(LONGEST_WAIT);
--- a/net/src/platform_store.rs
+++ b/net/src/platform_store.rs
@@ -22,8 +22,9 @@
 /// Wait for the answer to a call: the store answers in some 4 ms, and in
 /// 400 ms when it is slowed a hundredfold.
 const CALL_WAIT: Duration = Duration::from_millis(1_500);
-/// How long the store may hold a watch without a change.
-const WATCH_HOLD: Duration = Duration::from_secs(20);
+/// How long the store may hold a watch without a change: each answer shows
+/// whether a change was missed, and costs a call.
+const WATCH_HOLD: Duration = Duration::from_secs(8);
 /// Wait for the answer to a watch beyond its hold.
 const WATCH_SPARE: Duration = Duration::from_secs(2);
 
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -49,6 +49,8 @@
 const RETRY_KEEPERS: Duration = Duration::from_millis(250);
 /// Pause before a server that is full is asked again to go on with a stream.
 const SAME_PAUSE: Duration = Duration::from_millis(40);
+/// When to come back to another gateway, which may reach the keepers.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 /// Time left below which a request is not sent any more.
 const LEAST_LEFT: Duration = Duration::from_millis(5);
 
@@ -204,7 +206,7 @@
             response
         }
     };
-    if gateway.is_stopping() {
+    if gateway.turns_callers_away() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert("connection", close);
     }
@@ -355,6 +357,9 @@
             TurnRefusal::Unavailable => {
                 Refusal::later(RETRY_KEEPERS, "too few keepers answer; come back")
             }
+            TurnRefusal::Elsewhere => {
+                Refusal::later(RETRY_ELSEWHERE, "too few keepers are within reach here; come back")
+            }
         })?;
         if !open.history.is_empty() {
             self.body = [&open.history[..], &self.body[..]].concat().into();
--- a/net/src/replicas.rs
+++ b/net/src/replicas.rs
@@ -1,6 +1,7 @@
 //! Links to keepers, and questions to them.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -157,6 +158,22 @@
         dialled.is_some_and(|dialled| dialled.sender.is_some())
     }
 
+    /// Returns the keepers to which there is a link, or was one less than
+    /// `wait` ago.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn within_reach(&self, wait: Duration) -> HashSet<Arc<str>> {
+        let now = self.clock.now();
+        let inner = self.inner();
+        let near = inner
+            .keepers
+            .iter()
+            .filter(|(_, dialled)| dialled.sender.is_some() || now.since(dialled.since) < wait);
+        near.map(|(node, _)| node.clone()).collect()
+    }
+
     /// Returns the keepers to which there has been no link for `wait`.
     ///
     /// # Panics
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -107,6 +107,9 @@
                 }
                 Err(_) => {}
             }
+            // A watch that goes on where a broken one ended may hear nothing
+            // of what came between, if the history is dropped meanwhile.
+            fresh = false;
             let jitter = rand::random_range(0.7..1.3);
             smol::Timer::after(wait.mul_f64(jitter)).await;
             wait = (wait * 2).min(LONGEST_WAIT);
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -14,6 +14,7 @@
 use limpetferry_lib::ledger::Link;
 use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::membership::Membership;
+use limpetferry_lib::membership::Standing;
 use limpetferry_lib::opening::Opening;
 use limpetferry_lib::opening::Step;
 use limpetferry_lib::opening::Verdict;
@@ -32,6 +33,9 @@
 /// or a link that is dialled anew, and short against a program's time, so that
 /// its caller may come back.
 const OPEN_WAIT: Duration = Duration::from_millis(300);
+/// How long a keeper without a link counts as within reach: a link is dialled
+/// anew within it if the keeper is there.
+const REACH_WAIT: Duration = Duration::from_millis(500);
 /// Longest wait for the first event of a turn that runs to become durable.
 const DURABLE_WAIT: Duration = Duration::from_millis(1_000);
 /// Longest wait for the end of a turn to be on disk.
@@ -49,6 +53,8 @@
     NoPrevious,
     /// Too few keepers answer to be certain.
     Unavailable,
+    /// Too few keepers are within this process's reach; others may do better.
+    Elsewhere,
 }
 
 /// Opens turns.
@@ -106,6 +112,17 @@
         })
     }
 
+    /// Returns whether enough keepers are within reach for most programs: all
+    /// but as many as may be lost at once.
+    pub fn is_in_reach(&self) -> bool {
+        let keepers = self.site.known().keepers.clone();
+        let near = self.replicas.within_reach(REACH_WAIT);
+        let staying = keepers.keepers.iter();
+        let staying = staying.filter(|keeper| keeper.standing != Standing::Leaving);
+        let far = staying.filter(|keeper| !near.contains(&keeper.node)).count();
+        far <= self.faults
+    }
+
     fn history(&self, begin: &Begin) -> Result<Bytes, Arc<str>> {
         let mut chains = self.chains.lock().expect("no panic while locked");
         chains.history(begin.previous.as_ref())
@@ -164,6 +181,11 @@
         limit: Time,
     ) -> Result<Round, TurnRefusal> {
         let mut round = self.round(begin, budget);
+        let near = self.replicas.within_reach(REACH_WAIT);
+        let reached = |at: usize| near.contains(&round.membership.keepers[at].node);
+        if !round.opening.replicas().majority(reached) {
+            return Err(TurnRefusal::Elsewhere);
+        }
         loop {
             self.ask_missing(&mut round, begin);
             let left = limit.since(self.clock.now());
