site: let keepers keep and tell what the platform's store holds

Change: keepers follow the store like gateways, put what they know on disk, and answer those that the store does not answer; gateways ask their seeds first. The keepers' own two watches are one now.

--- a/lib/src/ask.rs
+++ b/lib/src/ask.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -18,6 +19,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Ticket(pub u64);
 
+/// An item of the platform's store as one process last read it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Stored {
+    /// The key.
+    pub key: String,
+    /// The value.
+    pub value: Bytes,
+    /// Revision of its last change.
+    pub revision: u64,
+}
+
+/// What one process knows from the platform's store.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Snapshot {
+    /// Revision of the store up to which it is complete.
+    pub revision: u64,
+    /// The items.
+    pub items: Vec<Stored>,
+}
+
 /// What a keeper is asked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Question {
@@ -64,6 +85,12 @@
         /// The programs.
         programs: Vec<Arc<str>>,
     },
+    /// Give what is known from the platform's store, if it is newer than
+    /// `after`.
+    Snapshot {
+        /// Revision of the store up to which the asker knows it.
+        after: u64,
+    },
 }
 
 /// What a keeper answers.
@@ -103,6 +130,8 @@
         /// How many programs they belong to.
         programs: usize,
     },
+    /// What is known from the platform's store; empty if it is not newer.
+    Snapshot(Snapshot),
     /// The asker goes by an old list.
     Stale(Membership),
     /// The keeper cannot do it now.
--- /dev/null
+++ b/lib/tests/opening.rs
@@ -0,0 +1,140 @@
+//! Orders of events around the opening of a turn that random ones seldom meet.
+
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
+use limpetferry_lib::ledger::Presence;
+use limpetferry_lib::ledger::Share;
+use limpetferry_lib::membership::Membership;
+use limpetferry_lib::opening::Opening;
+use limpetferry_lib::opening::Step;
+use limpetferry_lib::opening::Verdict;
+use limpetferry_lib::opening::View;
+
+const BUDGET: u64 = 60;
+const MOST: u64 = 30;
+
+fn opening() -> Opening {
+    let mut list = Membership::default();
+    for number in 0..3_u16 {
+        let address = ([10, 0, 0, 1], 7_000 + number).into();
+        let name = format!("keeper-{number}");
+        list = list.join(&name, address, 1).expect("it is new");
+    }
+    Opening::new(list.replicas("program", 1), Some(BUDGET), MOST)
+}
+
+fn view(others: &[&str]) -> View {
+    let share = |turn: &&str| Share {
+        turn: Arc::from(*turn),
+        tokens: MOST,
+        ended: false,
+    };
+    View {
+        whole: true,
+        shares: others.iter().map(share).collect(),
+        previous: Presence::Never,
+    }
+}
+
+fn noted(others: &[&str]) -> Step {
+    Step::Noted(view(others))
+}
+
+#[test]
+fn three_turns_that_each_see_one_other_do_not_all_go() {
+    // At one replica first comes before second, at the next second before
+    // third, at the last third before first; each hears from two of them.
+    let mut turns = [opening(), opening(), opening()];
+    let others = ["second", "third", "first"];
+
+    let verdicts: Vec<Verdict> = turns
+        .iter_mut()
+        .zip(others)
+        .map(|(turn, other)| {
+            turn.step(0, noted(&[]));
+            turn.step(1, noted(&[other]))
+        })
+        .collect();
+
+    assert_eq!(verdicts, [Verdict::Ask; 3]);
+    for turn in &mut turns {
+        turn.step(0, Step::Seen(view(&["a", "b"])));
+        let verdict = turn.step(1, Step::Seen(view(&["a", "b"])));
+        assert_matches!(verdict, Verdict::Spent);
+    }
+}
+
+#[test]
+fn a_replica_that_was_not_asked_again_does_not_make_a_turn_durable() {
+    let mut turn = opening();
+    turn.step(0, noted(&[]));
+    turn.step(1, noted(&["other"]));
+    turn.step(0, Step::Seen(view(&["other"])));
+    let go = turn.step(1, Step::Seen(view(&["other"])));
+    turn.step(2, noted(&[]));
+
+    turn.step(1, Step::Synced);
+    turn.step(2, Step::Synced);
+    let before = turn.is_durable();
+    turn.step(2, Step::Seen(view(&["other"])));
+
+    assert_matches!(go, Verdict::Go);
+    assert!(!before);
+    assert!(turn.is_durable());
+}
+
+#[test]
+fn a_replica_that_was_lost_counts_only_once_it_has_answered_anew() {
+    let mut turn = opening();
+    turn.step(0, noted(&[]));
+    turn.step(1, noted(&[]));
+    turn.step(0, Step::Synced);
+
+    turn.step(0, Step::Lost);
+    turn.step(1, Step::Synced);
+    let before = turn.is_durable();
+    turn.step(0, noted(&[]));
+    turn.step(0, Step::Synced);
+
+    assert!(!before);
+    assert!(turn.is_durable());
+}
+
+#[test]
+fn what_a_lost_replica_told_before_is_asked_again() {
+    let mut turn = opening();
+    turn.step(0, noted(&[]));
+
+    turn.step(0, Step::Lost);
+    let verdict = turn.step(1, noted(&[]));
+
+    assert_matches!(verdict, Verdict::Wait);
+}
+
+#[test]
+fn a_replica_that_may_lack_turns_says_nothing_of_the_budget() {
+    let mut turn = opening();
+    let mut lacking = view(&[]);
+    lacking.whole = false;
+    turn.step(0, Step::Noted(lacking));
+
+    let two = turn.step(1, noted(&[]));
+    let three = turn.step(2, noted(&[]));
+
+    assert_matches!(two, Verdict::Wait);
+    assert_matches!(three, Verdict::Go);
+}
+
+#[test]
+fn an_end_that_one_replica_knows_counts_as_what_was_used() {
+    let mut turn = opening();
+    let mut ended = view(&["other"]);
+    ended.shares[0].tokens = 0;
+    ended.shares[0].ended = true;
+    turn.step(0, noted(&["other"]));
+
+    let verdict = turn.step(1, Step::Noted(ended));
+
+    assert_matches!(verdict, Verdict::Go);
+}
--- a/net/src/disk.rs
+++ b/net/src/disk.rs
@@ -7,6 +7,7 @@
 
 use limpetferry_lib::ask::KeeperMessage;
 use limpetferry_lib::ask::Reply;
+use limpetferry_lib::ask::Snapshot;
 use limpetferry_lib::ask::Ticket;
 use limpetferry_lib::effect::Note;
 use limpetferry_lib::ledger::Record;
@@ -32,6 +33,8 @@
     },
     /// Note on disk that the keeper has all that it ever acknowledged.
     SetWhole(async_channel::Sender<()>),
+    /// Put what is known from the platform's store on disk.
+    Site(Snapshot),
     /// Write these records anew in place of all that was written before.
     Rewrite(Vec<Record>),
 }
@@ -103,6 +106,7 @@
                     segments.set_whole()?;
                     let _ = done.try_send(());
                 }
+                Job::Site(snapshot) => segments.write_site(&snapshot)?,
                 Job::Rewrite(live) => segments.rewrite(&live)?,
             }
             count += 1;
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -18,6 +18,7 @@
 
 use crate::clock::Clock;
 use crate::gateway_settings::GatewaySettings;
+use crate::hearsay;
 use crate::http;
 use crate::http::Body;
 use crate::http::Bounds;
@@ -188,7 +189,15 @@
         boot: Boot(rand::random()),
         key: common.key_digest(),
     };
-    let replicas = Replicas::new(hello, clock);
+    let replicas = Replicas::new(hello.clone(), clock);
+    let seeds = common.seeds.clone();
+    smol::spawn(hearsay::follow(
+        site.clone(),
+        replicas.clone(),
+        hello,
+        seeds,
+    ))
+    .detach();
     let turns = Turns::new(site.clone(), replicas.clone(), common.faults, clock);
     let gateway = Arc::new(Gateway {
         node: common.node.clone(),
--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -29,6 +29,10 @@
     pub key: String,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Addresses of some keepers, which are asked while the platform's store
+    /// is away.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
     /// How many keepers may be lost at once.
     pub faults: usize,
     /// Longest time that a planned stop may take, in milliseconds.
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -5,9 +5,6 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use limpetferry_lib::ask::Question;
@@ -19,7 +16,6 @@
 use limpetferry_lib::membership::Standing;
 use limpetferry_platform::document;
 use limpetferry_platform::document::RetireState;
-use limpetferry_platform::store::Item;
 use limpetferry_platform::store::ReplyError;
 
 use crate::disk::Job;
@@ -31,8 +27,6 @@
 use crate::site::KEEPERS_KEY;
 use crate::timeout::within;
 
-/// Keys of the system's own in the platform's store.
-const OWN_PREFIX: &str = "limpetferry/";
 /// First wait after a failed call to the store; doubled for each one in a row.
 const FIRST_WAIT: Duration = Duration::from_millis(100);
 /// Longest such wait.
@@ -55,13 +49,10 @@
     store: SocketAddr,
     address: SocketAddr,
     faults: usize,
-    retiring: AtomicBool,
     /// Keepers from which all was copied, with the epoch of the list.
     copied: Mutex<HashSet<(u64, Arc<str>)>>,
     /// What the operator was last told of the emptying.
     reported: Mutex<Option<RetireState>>,
-    /// Revision of the list in the store.
-    revision: AtomicU64,
 }
 
 impl KeeperList {
@@ -77,18 +68,14 @@
             store: settings.common.store,
             address: settings.common.peers,
             faults: settings.common.faults,
-            retiring: false.into(),
             copied: Mutex::default(),
             reported: Mutex::default(),
-            revision: 0.into(),
         })
     }
 
     /// Follows the store, and does what the list asks of this keeper, for as
     /// long as the process runs.
     pub async fn follow(self: Arc<Self>) {
-        smol::spawn(self.clone().watch(OWN_PREFIX)).detach();
-        smol::spawn(self.clone().watch(document::RETIRE_PREFIX)).detach();
         let mut store = PlatformStore::new(self.store);
         let mut wait = FIRST_WAIT;
         loop {
@@ -108,95 +95,16 @@
         }
     }
 
-    async fn watch(self: Arc<Self>, prefix: &'static str) {
-        let mut store = PlatformStore::new(self.store);
-        let mut revision = None;
-        let mut wait = FIRST_WAIT;
-        let mut away = false;
-        loop {
-            let result = match revision {
-                None => store
-                    .list(prefix)
-                    .await
-                    .map(|page| (page.items, page.revision)),
-                Some(after) => {
-                    let changes = store.watch(prefix, after).await;
-                    changes.map(|changes| (changes.items, changes.revision))
-                }
-            };
-            match result {
-                Ok((items, at)) => {
-                    if std::mem::take(&mut away) {
-                        let note = Note::new("store_regained").with("prefix", prefix);
-                        self.keeper.note(note.with("revision", at));
-                    }
-                    for item in items {
-                        self.apply(&item);
-                    }
-                    if prefix == OWN_PREFIX && revision.is_none() {
-                        self.revision.fetch_max(1, Ordering::Relaxed);
-                    }
-                    revision = Some(at);
-                    wait = FIRST_WAIT;
-                    continue;
-                }
-                Err(PlatformError::Reply(ReplyError::Compacted)) => {
-                    revision = None;
-                    continue;
-                }
-                Err(error) if !away => {
-                    away = true;
-                    let note = Note::new("store_lost").with("prefix", prefix);
-                    self.keeper.note(note.with("why", error));
-                }
-                Err(_) => {}
-            }
-            revision = None;
-            let jitter = rand::random_range(0.5..1.5);
-            smol::Timer::after(wait.mul_f64(jitter)).await;
-            wait = (wait * 2).min(LONGEST_WAIT);
-        }
-    }
-
-    fn apply(&self, item: &Item) {
-        if item.key == KEEPERS_KEY
-            && let Some(value) = &item.value
-        {
-            let order = Ordering::Relaxed;
-            self.revision.fetch_max(item.revision, order);
-            match serde_json::from_slice::<Membership>(value) {
-                Ok(membership) => {
-                    self.keeper.take_membership(membership);
-                }
-                Err(error) => self
-                    .keeper
-                    .note(Note::new("keepers_unread").with("why", error)),
-            }
-        }
-        let retired = item.key.strip_prefix(document::RETIRE_PREFIX);
-        if retired == Some(self.keeper.node.as_str()) {
-            let asked = item.value.is_some();
-            self.keeper.note(Note::new("retire").with("asked", asked));
-            self.retiring.store(asked, Ordering::Relaxed);
-        }
-    }
-
     /// Does the next thing that is to be done.
-    async fn step(
-        &self,
-        store: &mut PlatformStore,
-    ) -> Result<(), PlatformError> {
-        let order = Ordering::Relaxed;
-        if self.revision.load(order) == 0 {
-            // The list was not read yet.
-            return Ok(());
-        }
-        let (membership, whole) = {
-            let state = self.keeper.state();
-            (state.membership.clone(), state.whole)
+    async fn step(&self, store: &mut PlatformStore) -> Result<(), PlatformError> {
+        let (membership, retiring) = {
+            let known = self.keeper.site.known();
+            let retiring = known.retiring.contains(&self.keeper.node);
+            (known.keepers.clone(), retiring)
         };
+        let whole = self.keeper.state().whole;
         self.replicas.dial(&membership);
-        if self.retiring.load(order) {
+        if retiring {
             return self.retire(store, &membership).await;
         }
         let node = self.keeper.node.as_str();
@@ -240,7 +148,12 @@
         let mut missing = 0;
         for other in &others {
             let copied = (membership.epoch, other.clone());
-            if self.copied.lock().expect("no panic while locked").contains(&copied) {
+            if self
+                .copied
+                .lock()
+                .expect("no panic while locked")
+                .contains(&copied)
+            {
                 continue;
             }
             let start = self.keeper.clock.now();
@@ -331,6 +244,10 @@
             return None;
         }
         let heard = within(PULL_WAIT, heard.recv()).await?.ok()?;
+        if let Some(Reply::Stale(membership)) = heard.reply {
+            self.keeper.site.take_keepers(membership, 0);
+            return None;
+        }
         heard.reply
     }
 
@@ -420,14 +337,19 @@
         let Some(next) = next else {
             return Ok(());
         };
-        let order = Ordering::Relaxed;
-        let known = self.revision.load(order);
-        let expected = if next.epoch == 1 { 0 } else { known };
+        let expected = {
+            let known = self.keeper.site.known();
+            if !known.read {
+                // What other keepers told may be old.
+                return Ok(());
+            }
+            known.keepers_revision
+        };
         let value = serde_json::to_vec(&next).unwrap_or_default();
         match store.swap(KEEPERS_KEY, expected, &value).await {
             Ok(revision) => {
-                self.revision.fetch_max(revision, order);
-                self.keeper.take_membership(next);
+                self.keeper.site.known().keepers_revision = revision;
+                self.keeper.site.take_keepers(next, revision);
                 Ok(())
             }
             Err(PlatformError::Reply(ReplyError::Conflict)) => {
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -10,6 +10,7 @@
 use limpetferry_lib::ask::KeeperMessage;
 use limpetferry_lib::ask::Question;
 use limpetferry_lib::ask::Reply;
+use limpetferry_lib::ask::Snapshot;
 use limpetferry_lib::ask::Ticket;
 use limpetferry_lib::effect::Note;
 use limpetferry_lib::id::Boot;
@@ -25,12 +26,16 @@
 use crate::disk::Disk;
 use crate::disk::Job;
 use crate::gateway_settings::KeeperSettings;
+use crate::hearsay;
 use crate::keeper_list::KeeperList;
 use crate::log;
 use crate::peer;
 use crate::peer::Hello;
+use crate::platform_store::PlatformStore;
 use crate::replicas::Replicas;
 use crate::segments::Segments;
+use crate::site::Site;
+use crate::site_file;
 
 /// How long turns are kept after their program's last one: the routes of the
 /// sheets ask for 60 s, and clocks and queues need some seconds more.
@@ -43,6 +48,9 @@
 const SMALL: u64 = 64 << 20;
 /// Bytes of records in one answer to a keeper that catches up.
 const PULL_BYTES: usize = 512 << 10;
+/// Time between looks whether what is known from the platform's store has
+/// changed: what is newer comes from the store itself once it is back.
+const SITE_EVERY: Duration = Duration::from_millis(500);
 /// Digests in one answer: some 60 kB.
 const MAX_DIGESTS: usize = 2_048;
 /// Wait before a listener that failed is asked again.
@@ -56,8 +64,6 @@
     pub ledger: Ledger,
     /// Whether it has all that it ever acknowledged.
     pub whole: bool,
-    /// The list of keepers.
-    pub membership: Membership,
 }
 
 /// One keeper.
@@ -68,6 +74,8 @@
     pub clock: Clock,
     /// Its disk.
     pub disk: Disk,
+    /// What it knows from the platform's store.
+    pub site: Arc<Site>,
     most: u64,
     state: Mutex<State>,
 }
@@ -87,22 +95,6 @@
         log::note(&self.node, &note);
     }
 
-    /// Takes a list of keepers, if it is newer.
-    pub fn take_membership(&self, membership: Membership) -> bool {
-        let mut state = self.state();
-        if membership.epoch <= state.membership.epoch {
-            return false;
-        }
-        let note = Note::new("keepers")
-            .with("epoch", membership.epoch)
-            .with("count", membership.keepers.len())
-            .with("changing", membership.is_changing());
-        state.membership = membership;
-        drop(state);
-        self.note(note);
-        true
-    }
-
     /// Takes records, and has those that are new put on disk; `tell` hears of
     /// it when all of them are there.
     pub fn keep(
@@ -138,7 +130,10 @@
     ) {
         let reply = match question {
             Question::Note { epoch, .. } | Question::End { epoch, .. } if self.is_stale(epoch) => {
-                Reply::Stale(self.state().membership.clone())
+                Reply::Stale(Membership::clone(&self.site.known().keepers))
+            }
+            Question::Digests { ref membership, .. } if self.is_stale(membership.epoch) => {
+                Reply::Stale(Membership::clone(&self.site.known().keepers))
             }
             Question::Note { .. } | Question::End { .. } if self.is_full() => {
                 Reply::Failed("the disk is full; raise data.max_mb".to_owned())
@@ -165,7 +160,7 @@
             Question::Look { program, turn } => Reply::Seen(self.view(&program, &turn, None)),
             Question::Chain { turn } => self.chain(&turn),
             Question::Digests { after, membership } => {
-                self.take_membership(membership);
+                self.site.take_keepers(membership, 0);
                 let state = self.state();
                 let (programs, more) = state.ledger.digests(after.as_deref(), MAX_DIGESTS);
                 Reply::Digests {
@@ -175,13 +170,21 @@
                 }
             }
             Question::Records { programs } => self.records(&programs),
+            Question::Snapshot { after } => {
+                let newer = self.site.known().revision > after;
+                Reply::Snapshot(if newer {
+                    self.site.snapshot()
+                } else {
+                    Snapshot::default()
+                })
+            }
         };
         // The asker may have left.
         let _ = sender.try_send(KeeperMessage::Tell(ticket, reply));
     }
 
     fn is_stale(&self, epoch: u64) -> bool {
-        epoch < self.state().membership.epoch
+        epoch < self.site.known().keepers.epoch
     }
 
     fn noted(&self, program: &str, turn: &str, previous: Option<&str>, chain: bool) -> Reply {
@@ -259,6 +262,20 @@
         }
     }
 
+    /// Puts what is known from the platform's store on disk whenever it
+    /// changed, for gateways that start while the store is away.
+    async fn keep_site(self: Arc<Self>) {
+        let mut kept = self.site.known().revision;
+        loop {
+            smol::Timer::after(SITE_EVERY).await;
+            let revision = self.site.known().revision;
+            if revision != kept {
+                self.disk.send(Job::Site(self.site.snapshot()));
+                kept = revision;
+            }
+        }
+    }
+
     async fn listen(self: Arc<Self>, listener: TcpListener, hello: Hello) {
         loop {
             let Ok((stream, _)) = listener.accept().await else {
@@ -340,16 +357,18 @@
     for record in found.records {
         ledger.apply(now, record);
     }
+    let (changed, _changes) = async_channel::bounded(1);
+    let site = Site::new(&common.node, clock, changed);
+    if let Some(snapshot) = site_file::read(folder) {
+        site.take_snapshot(snapshot, "disk");
+    }
     let keeper = Arc::new(Keeper {
         node: common.node.clone(),
         clock,
         disk: Disk::start(&common.node, folder.clone(), segments)?,
         most,
-        state: Mutex::new(State {
-            ledger,
-            whole,
-            membership: Membership::default(),
-        }),
+        state: Mutex::new(State { ledger, whole }),
+        site: site.clone(),
     });
     let hello = Hello {
         node: NodeId::new(&common.node),
@@ -361,7 +380,18 @@
         .wrap_err_with(|| format!("cannot listen on {}; set common.peers", common.peers))?;
     smol::spawn(keeper.clone().listen(listener, hello.clone())).detach();
     smol::spawn(keeper.clone().expire()).detach();
-    let list = KeeperList::new(keeper.clone(), Replicas::new(hello, clock), &settings);
+    smol::spawn(keeper.clone().keep_site()).detach();
+    smol::spawn(site.follow(PlatformStore::new(common.store))).detach();
+    let replicas = Replicas::new(hello.clone(), clock);
+    let seeds = common.seeds.clone();
+    smol::spawn(hearsay::follow(
+        keeper.site.clone(),
+        replicas.clone(),
+        hello,
+        seeds,
+    ))
+    .detach();
+    let list = KeeperList::new(keeper.clone(), replicas, &settings);
     smol::spawn(list.follow()).detach();
     let _ = stop.recv().await;
     log::note(&common.node, &Note::new("stopped").with("role", "keeper"));
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -357,9 +357,10 @@
             TurnRefusal::Unavailable => {
                 Refusal::later(RETRY_KEEPERS, "too few keepers answer; come back")
             }
-            TurnRefusal::Elsewhere => {
-                Refusal::later(RETRY_ELSEWHERE, "too few keepers are within reach here; come back")
-            }
+            TurnRefusal::Elsewhere => Refusal::later(
+                RETRY_ELSEWHERE,
+                "too few keepers are within reach here; come back",
+            ),
         })?;
         if !open.history.is_empty() {
             self.body = [&open.history[..], &self.body[..]].concat().into();
@@ -480,7 +481,8 @@
             match self.send(lease, last_event).await {
                 Ok(started) => return Some(started),
                 Err(failure) => {
-                    self.gateway.attempt_failed(&self.call.attempt, key, &failure);
+                    self.gateway
+                        .attempt_failed(&self.call.attempt, key, &failure);
                     tries += 1;
                     let full = matches!(failure, Failure::NotRun(_));
                     if !full || tries > MAX_REFUSALS {
--- a/net/src/segments.rs
+++ b/net/src/segments.rs
@@ -12,9 +12,12 @@
 use std::path::Path;
 use std::path::PathBuf;
 
+use limpetferry_lib::ask::Snapshot;
 use limpetferry_lib::ledger::Record;
 use thiserror::Error;
 
+use crate::site_file;
+
 /// End of the names of files with records.
 const SUFFIX: &str = ".turns";
 /// File that says that the keeper has all that it ever acknowledged.
@@ -152,6 +155,15 @@
         write().map_err(|error| self.fail(error))
     }
 
+    /// Puts what is known from the platform's store beside the records.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SegmentError`] if the disk fails.
+    pub fn write_site(&mut self, snapshot: &Snapshot) -> Result<(), SegmentError> {
+        site_file::write(&self.folder, snapshot).map_err(|error| self.fail(error))
+    }
+
     /// Returns the bytes of all files.
     pub fn bytes(&self) -> u64 {
         let older: u64 = self.older.iter().map(|segment| segment.bytes).sum();
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -1,11 +1,17 @@
 //! What a gateway knows of the site: the operator's routes, the servers and
 //! the list of keepers, fed by a watch of the platform's store.
 
+use std::collections::BTreeMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use limpetferry_lib::ask::Snapshot;
+use limpetferry_lib::ask::Stored;
 use limpetferry_lib::effect::Note;
 use limpetferry_lib::fleet::Fleet;
 use limpetferry_lib::fleet::LAPSE_WAIT;
@@ -40,8 +46,15 @@
     pub fleet: Fleet,
     /// The list of keepers.
     pub keepers: Arc<Membership>,
+    /// Revision of the list of keepers in the store, zero if it has none.
+    pub keepers_revision: u64,
+    /// Names of keepers that the operator wants emptied.
+    pub retiring: HashSet<String>,
     /// Revision of the store up to which everything is known.
     pub revision: u64,
+    /// Whether the store was read in this life of the process.
+    pub read: bool,
+    items: BTreeMap<String, Stored>,
 }
 
 /// What a gateway knows of the site.
@@ -50,6 +63,7 @@
     clock: Clock,
     known: Mutex<Known>,
     changed: async_channel::Sender<()>,
+    away: AtomicBool,
 }
 
 impl Site {
@@ -61,6 +75,7 @@
             clock,
             known: Mutex::default(),
             changed,
+            away: AtomicBool::new(true),
         })
     }
 
@@ -103,6 +118,7 @@
                 }
                 Err(error) if !away => {
                     away = true;
+                    self.away.store(true, Ordering::Relaxed);
                     self.note(Note::new("store_lost").with("why", error));
                 }
                 Err(_) => {}
@@ -119,13 +135,59 @@
     async fn read(&self, store: &mut PlatformStore, away: &mut bool) -> Result<(), PlatformError> {
         let page = store.list("").await?;
         let lapsed = self.back(away, page.revision);
-        let present: Vec<String> = page.items.iter().map(|item| item.key.clone()).collect();
-        for item in page.items {
+        self.take_all(page.items, page.revision, lapsed);
+        self.known().read = true;
+        Ok(())
+    }
+
+    /// Takes all items that the store has at a revision.
+    fn take_all(&self, items: Vec<Item>, revision: u64, lapsed: bool) {
+        let present: HashSet<String> = items.iter().map(|item| item.key.clone()).collect();
+        for item in items {
             self.apply(item, lapsed);
         }
-        self.forget_missing(&present, lapsed);
-        self.known().revision = page.revision;
-        Ok(())
+        let missing: Vec<String> = {
+            let known = self.known();
+            let keys = known.items.keys().filter(|key| !present.contains(*key));
+            keys.cloned().collect()
+        };
+        for key in missing {
+            let gone = Item {
+                key,
+                value: None,
+                revision,
+            };
+            self.apply(gone, lapsed);
+        }
+        self.known().revision = revision;
+    }
+
+    /// Returns what is known from the store.
+    pub fn snapshot(&self) -> Snapshot {
+        let known = self.known();
+        Snapshot {
+            revision: known.revision,
+            items: known.items.values().cloned().collect(),
+        }
+    }
+
+    /// Takes what another process knows from the store, if it is newer.
+    pub fn take_snapshot(&self, snapshot: Snapshot, from: &str) {
+        let revision = snapshot.revision;
+        if revision <= self.known().revision {
+            return;
+        }
+        let note = Note::new("snapshot")
+            .with("from", from)
+            .with("revision", revision);
+        self.note(note.with("items", snapshot.items.len()));
+        let items = snapshot.items.into_iter().map(|stored| Item {
+            key: stored.key,
+            value: Some(stored.value),
+            revision: stored.revision,
+        });
+        // Servers may be missing there only because their entries lapsed.
+        self.take_all(items.collect(), revision, true);
     }
 
     async fn watch(&self, store: &mut PlatformStore, away: &mut bool) -> Result<(), PlatformError> {
@@ -147,44 +209,72 @@
     /// that entries may have lapsed in servers that live.
     fn back(&self, away: &mut bool, revision: u64) -> bool {
         let was_away = std::mem::take(away);
+        self.away.store(false, Ordering::Relaxed);
         if was_away {
             self.note(Note::new("store_regained").with("revision", revision));
         }
         was_away
     }
 
-    /// Drops or keeps a while the servers that a whole reading does not show.
-    fn forget_missing(&self, present: &[String], lapsed: bool) {
-        let prefix = document::SERVER_PREFIX;
-        let gone: Vec<Arc<str>> = {
-            let known = self.known();
-            let here = |id: &str| {
-                present
-                    .iter()
-                    .any(|key| key.strip_prefix(prefix) == Some(id))
-            };
-            known.fleet.ids().filter(|id| !here(id)).cloned().collect()
-        };
-        for id in gone {
-            self.server_gone(&id, lapsed);
+    fn apply(&self, item: Item, lapsed: bool) {
+        if !self.store_item(&item) {
+            return;
+        }
+        let Item {
+            key,
+            value,
+            revision,
+        } = item;
+        if let Some(id) = key.strip_prefix(document::SERVER_PREFIX) {
+            match &value {
+                Some(value) => self.server(id, value, revision),
+                None => self.server_gone(id, lapsed),
+            }
+        } else if let Some(node) = key.strip_prefix(document::RETIRE_PREFIX) {
+            self.retire(node, value.is_some());
+        } else if let (document::ROUTING_KEY, Some(value)) = (&*key, &value) {
+            self.routing(value, revision);
+        } else if let (KEEPERS_KEY, Some(value)) = (&*key, &value) {
+            self.keepers(value, revision);
         }
     }
 
-    fn apply(&self, item: Item, lapsed: bool) {
-        if let Some(id) = item.key.strip_prefix(document::SERVER_PREFIX) {
-            match &item.value {
-                Some(value) => self.server(id, value, item.revision),
-                None => self.server_gone(id, lapsed),
+    /// Keeps an item for other processes; returns whether it is news.
+    fn store_item(&self, item: &Item) -> bool {
+        let mut known = self.known();
+        let old = known.items.get(&item.key).map_or(0, |old| old.revision);
+        if item.revision <= old {
+            return false;
+        }
+        match &item.value {
+            Some(value) => {
+                let stored = Stored {
+                    key: item.key.clone(),
+                    value: value.clone(),
+                    revision: item.revision,
+                };
+                known.items.insert(item.key.clone(), stored);
             }
-        } else if item.key == document::ROUTING_KEY {
-            if let Some(value) = &item.value {
-                self.routing(value, item.revision);
+            None => {
+                known.items.remove(&item.key);
             }
-        } else if item.key == KEEPERS_KEY
-            && let Some(value) = &item.value
-        {
-            self.keepers(value, item.revision);
         }
+        true
+    }
+
+    fn retire(&self, node: &str, asked: bool) {
+        let mut known = self.known();
+        if asked {
+            known.retiring.insert(node.to_owned());
+        } else {
+            known.retiring.remove(node);
+        }
+        drop(known);
+        self.note(
+            Note::new("retire")
+                .with("keeper", node)
+                .with("asked", asked),
+        );
     }
 
     fn server(&self, id: &str, value: &[u8], revision: u64) {
@@ -246,7 +336,12 @@
 
     fn keepers(&self, value: &[u8], revision: u64) {
         match serde_json::from_slice::<Membership>(value) {
-            Ok(membership) => self.take_keepers(membership, revision),
+            Ok(membership) => {
+                let mut known = self.known();
+                known.keepers_revision = known.keepers_revision.max(revision);
+                drop(known);
+                self.take_keepers(membership, revision);
+            }
             Err(error) => self.note(Note::new("keepers_unread").with("why", error)),
         }
     }
@@ -269,6 +364,11 @@
         let _ = self.changed.try_send(());
     }
 
+    /// Returns whether the store has not answered lately.
+    pub fn is_away(&self) -> bool {
+        self.away.load(Ordering::Relaxed)
+    }
+
     /// Drops the servers whose entries lapsed and did not come back.
     pub async fn expire(self: Arc<Self>) {
         loop {
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -119,7 +119,9 @@
         let near = self.replicas.within_reach(REACH_WAIT);
         let staying = keepers.keepers.iter();
         let staying = staying.filter(|keeper| keeper.standing != Standing::Leaving);
-        let far = staying.filter(|keeper| !near.contains(&keeper.node)).count();
+        let far = staying
+            .filter(|keeper| !near.contains(&keeper.node))
+            .count();
         far <= self.faults
     }
 
@@ -198,13 +200,10 @@
                 }
                 continue;
             };
-            match self.take(&mut round, heard) {
+            match self.take(&mut round, begin, heard) {
                 Some(Verdict::Go) => return Ok(round),
                 Some(Verdict::Spent) => return Err(TurnRefusal::Spent),
-                Some(Verdict::Ask) => {
-                    round.looking = true;
-                    self.look(&mut round, begin);
-                }
+                Some(Verdict::Ask) => self.look_all(&mut round, begin),
                 Some(Verdict::Wait) => {}
                 None => round = self.round(begin, budget),
             }
@@ -244,8 +243,8 @@
         }
     }
 
-    fn look(&self, round: &mut Round, begin: &Begin) {
-        for &at in &round.noted {
+    fn look(&self, round: &Round, begin: &Begin, places: &[usize]) {
+        for &at in places {
             let question = Question::Look {
                 program: begin.program.clone(),
                 turn: begin.turn.clone(),
@@ -256,8 +255,14 @@
         }
     }
 
+    fn look_all(&self, round: &mut Round, begin: &Begin) {
+        round.looking = true;
+        let places: Vec<usize> = round.noted.iter().copied().collect();
+        self.look(round, begin, &places);
+    }
+
     /// Takes an answer; `None` if the list of keepers is an old one.
-    fn take(&self, round: &mut Round, heard: Heard) -> Option<Verdict> {
+    fn take(&self, round: &mut Round, begin: &Begin, heard: Heard) -> Option<Verdict> {
         let Some(at) = round.place(&heard.node) else {
             return Some(Verdict::Wait);
         };
@@ -265,6 +270,10 @@
             Some(Reply::Noted { view, chain }) => {
                 round.noted.insert(at);
                 self.remember(chain);
+                if round.looking {
+                    // It noted the turn after the others were asked to look.
+                    self.look(round, begin, &[at]);
+                }
                 Step::Noted(view)
             }
             Some(Reply::Seen(view)) => Step::Seen(view),
@@ -273,7 +282,12 @@
                 self.site.take_keepers(membership, 0);
                 return None;
             }
-            Some(Reply::Chain { .. } | Reply::Digests { .. } | Reply::Records { .. }) => return Some(Verdict::Wait),
+            Some(
+                Reply::Chain { .. }
+                | Reply::Digests { .. }
+                | Reply::Records { .. }
+                | Reply::Snapshot(_),
+            ) => return Some(Verdict::Wait),
             Some(Reply::Failed(_)) | None => {
                 round.asked.remove(&at);
                 round.noted.remove(&at);
@@ -429,29 +443,16 @@
             let Some(Ok(heard)) = wait.await else {
                 continue;
             };
-            match turns.take(&mut self.round, heard) {
+            match turns.take(&mut self.round, &self.begin, heard) {
                 Some(Verdict::Spent) => return Err(TurnRefusal::Spent),
-                Some(Verdict::Ask) => turns.look(&mut self.round, &self.begin),
-                Some(_) => {
-                    if self.round.looking {
-                        self.look_at_new(&turns);
-                    }
-                }
-                None => {
-                    return Err(TurnRefusal::Unavailable);
-                }
+                Some(Verdict::Ask) => turns.look_all(&mut self.round, &self.begin),
+                Some(_) => {}
+                None => return Err(TurnRefusal::Unavailable),
             }
         }
         Ok(())
     }
 
-    /// Asks replicas that noted the turn late for their second look.
-    fn look_at_new(&mut self, turns: &Turns) {
-        if !self.round.opening.is_durable() {
-            turns.look(&mut self.round, &self.begin);
-        }
-    }
-
     /// Ends the turn. Returns whether a majority has the end on disk, so that
     /// others may continue from it.
     ///
