gateway: let callers without another gateway wait for the platform

Cause: a gateway alone in its data centre, cut off from the keepers, sent its callers back after 20 ms; they used up their tries in 0.6 s while the platform needs two questions, a second apart, to leave it out. Ruled out: relaying keepers' messages through other gateways (larger; noted as open). Change: a line of turns that comes back to the same gateway is told to wait out the platform's questions, 0.95 s at most.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -48,3 +48,4 @@
 mod takeover;
 pub mod time;
 mod turn;
+pub mod turnaway;
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -1,6 +1,8 @@
 //! A gateway: takes callers' requests and passes them to servers.
 
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -9,11 +11,13 @@
 use eyre::WrapErr as _;
 use hyper::Response;
 use hyper::StatusCode;
+use limpetferry_lib::call::Program;
 use limpetferry_lib::effect::Note;
 use limpetferry_lib::fleet::ServerKey;
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::time::Time;
+use limpetferry_lib::turnaway::Turnaway;
 use smol::net::TcpListener;
 
 use crate::clock::Clock;
@@ -65,6 +69,7 @@
     pub turns: Arc<Turns>,
     stopping: AtomicBool,
     in_touch: AtomicBool,
+    turnaway: Mutex<Turnaway>,
 }
 
 impl Gateway {
@@ -83,6 +88,21 @@
         !self.is_ready()
     }
 
+    fn turnaway(&self) -> MutexGuard<'_, Turnaway> {
+        self.turnaway.lock().expect("no panic while locked")
+    }
+
+    /// Returns when the caller of a program's line is to come back, as this
+    /// process does not reach the keepers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn come_back(&self, program: &Program) -> Duration {
+        let now = self.clock.now();
+        self.turnaway().after(now, &program.id, &program.line)
+    }
+
     /// Looks again whether it has what it needs to serve.
     fn look(&self) {
         let known = {
@@ -90,6 +110,7 @@
             known.routing.is_some() && known.keepers.open
         };
         let now = known && self.turns.is_in_reach();
+        self.turnaway().set_ready(self.clock.now(), now);
         if self.in_touch.swap(now, Ordering::Relaxed) != now {
             let note = Note::new(if now { "ready" } else { "not_ready" });
             self.note(note.with("known", known));
@@ -208,6 +229,7 @@
         turns,
         stopping: AtomicBool::new(false),
         in_touch: AtomicBool::new(false),
+        turnaway: Mutex::default(),
     });
     let note = Note::new("started").with("role", "gateway");
     gateway.note(note.with("callers", settings.callers));
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -49,8 +49,6 @@
 const RETRY_KEEPERS: Duration = Duration::from_millis(250);
 /// Pause before a server that is full is asked again to go on with a stream.
 const SAME_PAUSE: Duration = Duration::from_millis(40);
-/// When to come back to another gateway, which may reach the keepers.
-const RETRY_ELSEWHERE: Duration = Duration::from_millis(20);
 /// Time left below which a request is not sent any more.
 const LEAST_LEFT: Duration = Duration::from_millis(5);
 
@@ -358,7 +356,7 @@
                 Refusal::later(RETRY_KEEPERS, "too few keepers answer; come back")
             }
             TurnRefusal::Elsewhere => Refusal::later(
-                RETRY_ELSEWHERE,
+                self.gateway.come_back(program),
                 "too few keepers are within reach here; come back",
             ),
         })?;
