gateway, keeper: serve metrics; keep connections for four seconds; gather changes

Each change in the store woke every watch by itself. Change: metrics of fixed labels at the metrics address, a summary line every 10 s; idle connections are used for 4 s unless a server was found to drop them earlier; a watch waits 150 ms before it is asked again.

--- a/lib/src/ask.rs
+++ b/lib/src/ask.rs
@@ -93,6 +93,21 @@
     },
 }
 
+impl Question {
+    /// Returns its name in metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::Note { .. } => "note",
+            Self::Look { .. } => "look",
+            Self::End { .. } => "end",
+            Self::Chain { .. } => "chain",
+            Self::Digests { .. } => "digests",
+            Self::Records { .. } => "records",
+            Self::Snapshot { .. } => "snapshot",
+        }
+    }
+}
+
 /// What a keeper answers.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -292,6 +292,12 @@
         server.is_some_and(|server| server.state == ServerState::Ready)
     }
 
+    /// Returns how many servers take requests.
+    pub fn ready_count(&self) -> usize {
+        let mut members = self.members.values();
+        members.by_ref().filter(|member| member.server.state == ServerState::Ready).count()
+    }
+
     /// Returns how many servers of a service take requests.
     pub fn ready(&self, service: &str) -> usize {
         let keys = self.services.get(service).into_iter().flatten();
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -107,6 +107,7 @@
             Err(refusal) => return Err(refusal),
         };
         flow.wait_durable().await?;
+        flow.job.observe_first_event();
         let mut response = Response::new(flow.into_body(first));
         *response.status_mut() = head.status;
         *response.headers_mut() = header::encode_answer(&head.headers);
@@ -265,6 +266,7 @@
                 "the server broke off, and another one could not go on",
             ));
         }
+        self.job.gateway.meters.resumed.inc();
         self.splitter = Splitter::default();
         self.body = started.body;
         self.lease = Some(started.lease);
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -18,6 +18,7 @@
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::turnaway::Turnaway;
+use prometheus::core::Collector as _;
 use smol::net::TcpListener;
 
 use crate::clock::Clock;
@@ -29,6 +30,8 @@
 use crate::http::Handler;
 use crate::http::whole;
 use crate::log;
+use crate::meters::GatewayMeters;
+use crate::metrics;
 use crate::peer::Hello;
 use crate::platform_store::PlatformStore;
 use crate::pool::Pool;
@@ -43,6 +46,8 @@
 /// Time between looks for connections that were idle for too long, and for
 /// the keepers within reach.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
+/// Such looks between two summaries.
+const SUMMARY_ROUNDS: u32 = 40;
 /// How long a stopping process goes on taking connections: the platform asks
 /// once a second whether it is ready and believes the second refusal.
 const LINGER: Duration = Duration::from_millis(2_600);
@@ -50,8 +55,6 @@
 const STOP_SPARE: Duration = Duration::from_millis(500);
 /// Time between looks whether all requests have ended.
 const STOP_LOOK: Duration = Duration::from_millis(20);
-/// Bytes of a question whether the process is ready.
-const READY_HEAD: usize = 8 << 10;
 
 /// One gateway.
 pub struct Gateway {
@@ -67,6 +70,8 @@
     pub pool: Pool,
     /// Turns of programs.
     pub turns: Arc<Turns>,
+    /// Its metrics.
+    pub meters: GatewayMeters,
     stopping: AtomicBool,
     in_touch: AtomicBool,
     turnaway: Mutex<Turnaway>,
@@ -107,10 +112,14 @@
     fn look(&self) {
         let known = {
             let known = self.site.known();
+            let version = known.routing.as_ref().map_or(0, |routing| routing.version);
+            self.meters.routing.set(version as i64);
+            self.meters.servers.set(known.fleet.ready_count() as i64);
             known.routing.is_some() && known.keepers.open
         };
         let now = known && self.turns.is_in_reach();
         self.turnaway().set_ready(self.clock.now(), now);
+        self.meters.ready.set(i64::from(self.is_ready()));
         if self.in_touch.swap(now, Ordering::Relaxed) != now {
             let note = Note::new(if now { "ready" } else { "not_ready" });
             self.note(note.with("known", known));
@@ -140,6 +149,7 @@
 
     /// Notes that an attempt at one server gave no answer.
     pub fn attempt_failed(&self, attempt: &str, key: ServerKey, failure: &Failure) {
+        self.meters.failures.with_label_values(&[failure.label()]).inc();
         let server = self.site.known().fleet.server(key).map(|s| s.id.clone());
         self.note(
             Note::new("attempt_failed")
@@ -151,6 +161,8 @@
 
     /// Notes that a server's answer went to the caller.
     pub fn answered(&self, job: &Job, server: &str, status: StatusCode, events: u64) {
+        let time = self.clock.now().since(job.start);
+        self.meters.request_time.observe(time.as_secs_f64());
         self.note(
             Note::new("answered")
                 .with("attempt", &job.call.attempt)
@@ -164,6 +176,7 @@
 
     /// Notes that a stream was broken off.
     pub fn cut(&self, job: &Job, events: u64, why: &str) {
+        self.meters.cut.inc();
         self.note(
             Note::new("cut")
                 .with("attempt", &job.call.attempt)
@@ -183,9 +196,27 @@
         response
     }
 
+    /// Notes the counts so far, for those who have only the log lines.
+    fn summarise(&self) {
+        let mut note = Note::new("summary");
+        for family in self.meters.connections.collect() {
+            for metric in family.get_metric() {
+                let source = metric.get_label().first().map(|label| label.value().to_owned());
+                let pair = format!("{}:{}", source.unwrap_or_default(), metric.get_counter().get_value());
+                note = note.with("connections", pair);
+            }
+        }
+        self.note(note.with("open", self.meters.open.get()));
+    }
+
     async fn expire(self: Arc<Self>) {
+        let mut round = 0_u32;
         loop {
             smol::Timer::after(EXPIRE_EVERY).await;
+            round += 1;
+            if round.is_multiple_of(SUMMARY_ROUNDS) {
+                self.summarise();
+            }
             self.look();
             let known = self.site.known();
             let ids: std::collections::HashSet<Arc<str>> = known.fleet.ids().cloned().collect();
@@ -227,6 +258,7 @@
         site: site.clone(),
         pool: Pool::default(),
         turns,
+        meters: GatewayMeters::new()?,
         stopping: AtomicBool::new(false),
         in_touch: AtomicBool::new(false),
         turnaway: Mutex::default(),
@@ -239,6 +271,10 @@
     smol::spawn(site.clone().follow(PlatformStore::new(common.store))).detach();
     smol::spawn(site.clone().expire()).detach();
     smol::spawn(gateway.clone().expire()).detach();
+    let metrics = listen(common.metrics, "common.metrics").await?;
+    let shown = gateway.clone();
+    let shown = metrics::handler(&gateway.meters.registry, move || shown.is_ready());
+    smol::spawn(http::serve(metrics, Bounds::SMALL, shown, closed.clone())).detach();
     smol::spawn(async move {
         while changes.recv().await.is_ok() {
             replicas.dial(&site.known().keepers.clone());
@@ -257,10 +293,7 @@
     ));
     smol::spawn(http::serve(
         ready,
-        Bounds {
-            connections: 64,
-            head: READY_HEAD,
-        },
+        Bounds::SMALL,
         ready_handler(&gateway),
         closed,
     ))
@@ -282,9 +315,9 @@
 }
 
 /// Returns how many parts of an idle gateway hold it: this function's caller,
-/// the looks for old connections, and the two handlers.
+/// the looks for old connections, and the three handlers.
 fn gateway_holders() -> usize {
-    4
+    5
 }
 
 async fn listen(address: std::net::SocketAddr, what: &str) -> eyre::Result<TcpListener> {
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -74,6 +74,14 @@
     pub head: usize,
 }
 
+impl Bounds {
+    /// Bounds of the listeners for metrics and readiness.
+    pub const SMALL: Self = Self {
+        connections: 64,
+        head: 8 << 10,
+    };
+}
+
 /// Serves `listener` until `stop` says so, then lets what is under way end.
 pub async fn serve(
     listener: TcpListener,
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -28,7 +28,11 @@
 use crate::gateway_settings::KeeperSettings;
 use crate::hearsay;
 use crate::keeper_list::KeeperList;
+use crate::http;
+use crate::http::Bounds;
 use crate::log;
+use crate::meters::KeeperMeters;
+use crate::metrics;
 use crate::peer;
 use crate::peer::Hello;
 use crate::platform_store::PlatformStore;
@@ -76,6 +80,7 @@
     pub disk: Disk,
     /// What it knows from the platform's store.
     pub site: Arc<Site>,
+    meters: KeeperMeters,
     most: u64,
     state: Mutex<State>,
 }
@@ -128,6 +133,7 @@
         question: Question,
         sender: &async_channel::Sender<KeeperMessage>,
     ) {
+        self.meters.questions.with_label_values(&[question.label()]).inc();
         let reply = match question {
             Question::Note { epoch, .. } | Question::End { epoch, .. } if self.is_stale(epoch) => {
                 Reply::Stale(Membership::clone(&self.site.known().keepers))
@@ -262,12 +268,24 @@
         }
     }
 
+    fn measure(&self) {
+        let state = self.state();
+        self.meters.turns.set(state.ledger.len() as i64);
+        self.meters.text_bytes.set(state.ledger.bytes() as i64);
+        self.meters.whole.set(i64::from(state.whole));
+        drop(state);
+        self.meters.disk_bytes.set(self.disk.bytes() as i64);
+        self.meters.disk_waiting.set(self.disk.waiting() as i64);
+        self.meters.epoch.set(self.site.known().keepers.epoch as i64);
+    }
+
     /// Puts what is known from the platform's store on disk whenever it
     /// changed, for gateways that start while the store is away.
     async fn keep_site(self: Arc<Self>) {
         let mut kept = self.site.known().revision;
         loop {
             smol::Timer::after(SITE_EVERY).await;
+            self.measure();
             let revision = self.site.known().revision;
             if revision != kept {
                 self.disk.send(Job::Site(self.site.snapshot()));
@@ -366,6 +384,7 @@
         node: common.node.clone(),
         clock,
         disk: Disk::start(&common.node, folder.clone(), segments)?,
+        meters: KeeperMeters::new()?,
         most,
         state: Mutex::new(State { ledger, whole }),
         site: site.clone(),
@@ -379,6 +398,13 @@
         .await
         .wrap_err_with(|| format!("cannot listen on {}; set common.peers", common.peers))?;
     smol::spawn(keeper.clone().listen(listener, hello.clone())).detach();
+    let metrics = TcpListener::bind(common.metrics)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {}; set common.metrics", common.metrics))?;
+    let (_close, closed) = async_channel::bounded(1);
+    let shown = keeper.clone();
+    let shown = metrics::handler(&keeper.meters.registry, move || shown.state().whole);
+    smol::spawn(http::serve(metrics, Bounds::SMALL, shown, closed)).detach();
     smol::spawn(keeper.clone().expire()).detach();
     smol::spawn(keeper.clone().keep_site()).detach();
     smol::spawn(site.follow(PlatformStore::new(common.store))).detach();
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod links;
 pub mod log;
 pub mod log_queue;
+pub mod meters;
 pub mod metrics;
 pub mod operators;
 pub mod peer;
--- /dev/null
+++ b/net/src/meters.rs
@@ -0,0 +1,151 @@
+//! Metrics of a gateway and of a keeper. Labels take a few fixed values, so
+//! that their number does not grow with callers, servers or routes.
+
+use prometheus::Histogram;
+use prometheus::HistogramOpts;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::Opts;
+use prometheus::Registry;
+
+/// Bounds of the buckets of times, in seconds: from a cached lookup to the
+/// longest timeout of a route.
+const SECONDS: [f64; 12] = [
+    0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
+];
+
+struct Maker {
+    registry: Registry,
+}
+
+impl Maker {
+    fn new() -> prometheus::Result<Self> {
+        let registry = Registry::new_custom(Some("limpetferry".into()), None)?;
+        Ok(Self { registry })
+    }
+
+    fn counters(&self, name: &str, help: &str, label: &str) -> prometheus::Result<IntCounterVec> {
+        let counter = IntCounterVec::new(Opts::new(name, help), &[label])?;
+        self.registry.register(Box::new(counter.clone()))?;
+        Ok(counter)
+    }
+
+    fn counter(&self, name: &str, help: &str) -> prometheus::Result<IntCounter> {
+        let counter = IntCounter::new(name, help)?;
+        self.registry.register(Box::new(counter.clone()))?;
+        Ok(counter)
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> prometheus::Result<IntGauge> {
+        let gauge = IntGauge::new(name, help)?;
+        self.registry.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+
+    fn seconds(&self, name: &str, help: &str) -> prometheus::Result<Histogram> {
+        let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
+        let histogram = Histogram::with_opts(opts)?;
+        self.registry.register(Box::new(histogram.clone()))?;
+        Ok(histogram)
+    }
+}
+
+/// Metrics of a gateway.
+#[derive(Clone, Debug)]
+pub struct GatewayMeters {
+    /// All of them.
+    pub registry: Registry,
+    /// Callers' requests by status of the answer.
+    pub requests: IntCounterVec,
+    /// Time from a request to the end of its answer.
+    pub request_time: Histogram,
+    /// Time from a request to the first event of its stream.
+    pub first_event: Histogram,
+    /// Attempts at servers that gave no answer, by what is known of them.
+    pub failures: IntCounterVec,
+    /// Connections to servers by where they came from.
+    pub connections: IntCounterVec,
+    /// Streams that went on after their server broke off.
+    pub resumed: IntCounter,
+    /// Streams that were broken off.
+    pub cut: IntCounter,
+    /// Requests under way.
+    pub open: IntGauge,
+    /// Version of the routing in force.
+    pub routing: IntGauge,
+    /// Servers that take requests.
+    pub servers: IntGauge,
+    /// Whether the process takes callers.
+    pub ready: IntGauge,
+    /// Milliseconds by which the last timer was late.
+    pub lag: IntGauge,
+}
+
+impl GatewayMeters {
+    /// Makes the metrics, all zero.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if two metrics have the same name.
+    pub fn new() -> prometheus::Result<Self> {
+        let make = Maker::new()?;
+        Ok(Self {
+            requests: make.counters("requests_total", "Requests by status", "status")?,
+            request_time: make.seconds("request_seconds", "From a request to its answer's end")?,
+            first_event: make.seconds("first_event_seconds", "From a request to the first event")?,
+            failures: make.counters("attempt_failures_total", "Attempts without answer", "kind")?,
+            connections: make.counters("connections_total", "Connections used", "source")?,
+            resumed: make.counter("streams_resumed_total", "Streams that went on")?,
+            cut: make.counter("streams_cut_total", "Streams that were broken off")?,
+            open: make.gauge("requests_open", "Requests under way")?,
+            routing: make.gauge("routing_version", "Version of the routing in force")?,
+            servers: make.gauge("servers_ready", "Servers that take requests")?,
+            ready: make.gauge("ready", "Whether the process takes callers")?,
+            lag: make.gauge("timer_lag_ms", "Lateness of the last timer")?,
+            registry: make.registry,
+        })
+    }
+}
+
+/// Metrics of a keeper.
+#[derive(Clone, Debug)]
+pub struct KeeperMeters {
+    /// All of them.
+    pub registry: Registry,
+    /// Questions by kind.
+    pub questions: IntCounterVec,
+    /// Turns held.
+    pub turns: IntGauge,
+    /// Bytes of their texts.
+    pub text_bytes: IntGauge,
+    /// Bytes on disk.
+    pub disk_bytes: IntGauge,
+    /// Jobs that wait for the disk.
+    pub disk_waiting: IntGauge,
+    /// Whether everything that was ever acknowledged is here.
+    pub whole: IntGauge,
+    /// Epoch of the list of keepers.
+    pub epoch: IntGauge,
+}
+
+impl KeeperMeters {
+    /// Makes the metrics, all zero.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if two metrics have the same name.
+    pub fn new() -> prometheus::Result<Self> {
+        let make = Maker::new()?;
+        Ok(Self {
+            questions: make.counters("questions_total", "Questions by kind", "kind")?,
+            turns: make.gauge("turns", "Turns held")?,
+            text_bytes: make.gauge("turn_text_bytes", "Bytes of the texts of turns")?,
+            disk_bytes: make.gauge("disk_bytes", "Bytes on disk")?,
+            disk_waiting: make.gauge("disk_jobs_waiting", "Jobs that wait for the disk")?,
+            whole: make.gauge("whole", "Whether nothing acknowledged is missing here")?,
+            epoch: make.gauge("keepers_epoch", "Epoch of the list of keepers")?,
+            registry: make.registry,
+        })
+    }
+}
--- a/net/src/metrics.rs
+++ b/net/src/metrics.rs
@@ -113,39 +113,46 @@
         }
     }
 
-    /// Returns the text that prometheus reads.
-    pub fn text(&self) -> String {
-        let mut bytes = Vec::new();
-        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut bytes);
-        String::from_utf8(bytes).unwrap_or_default()
-    }
-
     /// Returns what answers the metrics listener.
     pub fn handler(&self) -> Handler {
-        let this = self.clone();
-        Arc::new(move |request| {
-            let answer = this.answer(request.uri().path());
-            Box::pin(async move { answer })
-        })
+        let ready = self.ready.clone();
+        handler(&self.registry, move || ready.load(Ordering::Relaxed))
     }
+}
+
+/// Returns what answers a metrics listener: the metrics of `registry`, and
+/// whether the process lives and is ready.
+pub fn handler(registry: &Registry, ready: impl Fn() -> bool + Send + Sync + 'static) -> Handler {
+    let registry = registry.clone();
+    Arc::new(move |request| {
+        let answer = answer(&registry, ready(), request.uri().path());
+        Box::pin(async move { answer })
+    })
+}
+
+/// Returns the text that prometheus reads.
+fn text(registry: &Registry) -> String {
+    let mut bytes = Vec::new();
+    if let Err(error) = TextEncoder::new().encode(&registry.gather(), &mut bytes) {
+        log::warn!("event=metrics_unread why={:?}", error.to_string());
+    }
+    String::from_utf8(bytes).unwrap_or_default()
+}
 
-    fn answer(&self, path: &str) -> Response<Body> {
-        match path {
-            "/metrics" => {
-                let mut response = Response::new(whole(self.text()));
-                let kind = http::HeaderValue::from_static("text/plain; version=0.0.4");
-                response.headers_mut().insert("content-type", kind);
-                response
-            }
-            "/healthz" => json(200, &serde_json::json!({"status": "ok"})),
-            "/readyz" if self.ready.load(Ordering::Relaxed) => {
-                json(200, &serde_json::json!({"status": "ready"}))
-            }
-            "/readyz" => json(503, &serde_json::json!({"status": "starting or stopping"})),
-            _ => json(
-                404,
-                &serde_json::json!({"status": "try /metrics, /healthz or /readyz"}),
-            ),
+fn answer(registry: &Registry, ready: bool, path: &str) -> Response<Body> {
+    match path {
+        "/metrics" => {
+            let mut response = Response::new(whole(text(registry)));
+            let kind = http::HeaderValue::from_static("text/plain; version=0.0.4");
+            response.headers_mut().insert("content-type", kind);
+            response
         }
+        "/healthz" => json(200, &serde_json::json!({"status": "ok"})),
+        "/readyz" if ready => json(200, &serde_json::json!({"status": "ready"})),
+        "/readyz" => json(503, &serde_json::json!({"status": "starting or stopping"})),
+        _ => json(
+            404,
+            &serde_json::json!({"status": "try /metrics, /healthz or /readyz"}),
+        ),
     }
 }
--- a/net/src/pool.rs
+++ b/net/src/pool.rs
@@ -18,12 +18,39 @@
 /// Part of the server's own time after which a connection is not used again:
 /// the server may be just closing it.
 const SAFE_SHARE: f64 = 0.6;
-/// Longest idle time before a request that may run once only: an answer lost
-/// with a dropped connection cannot be asked for again.
-const ONCE_IDLE: Duration = Duration::from_millis(1_000);
+/// Longest idle time before a request that may run once only, while no
+/// connection was found dropped: its answer cannot be asked for again if it is
+/// lost with the connection.
+const ONCE_IDLE: Duration = Duration::from_secs(4);
+/// Least such time, however early connections are dropped.
+const LEAST_ONCE_IDLE: Duration = Duration::from_millis(200);
+/// How long servers that drop connections early are remembered.
+const DROP_MEMORY: Duration = Duration::from_secs(20);
 /// Idle connections kept for each server.
 const MAX_IDLE: usize = 24;
 
+/// Why there is no connection to use again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Absence {
+    /// All are in use.
+    None,
+    /// The server closed those that were idle.
+    Closed,
+    /// Those that are idle have been so for too long.
+    Old,
+}
+
+impl Absence {
+    /// Returns its name in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::None => "new_all_in_use",
+            Self::Closed => "new_closed_by_server",
+            Self::Old => "new_idle_too_long",
+        }
+    }
+}
+
 struct Idle {
     sender: Sender,
     since: Time,
@@ -34,24 +61,83 @@
 #[derive(Default)]
 pub struct Pool {
     idle: Mutex<HashMap<Arc<str>, Vec<Idle>>>,
+    dropped: Mutex<Option<Dropped>>,
+}
+
+/// A connection that its server had dropped without a word.
+#[derive(Clone, Copy)]
+struct Dropped {
+    at: Time,
+    /// How long it had been idle.
+    idle: Duration,
+}
+
+/// A connection that is used again.
+pub struct Kept {
+    /// The connection.
+    pub sender: Sender,
+    /// How long it was idle.
+    pub idle: Duration,
 }
 
 impl Pool {
     /// Takes the connection to a server that was used last, if it is fresh
     /// enough for a request that may run `once` only or more often.
     ///
+    /// # Errors
+    ///
+    /// Returns why there is none.
+    ///
     /// # Panics
     ///
     /// Panics if another thread panicked while it held the lock.
-    pub fn take(&self, now: Time, server: &str, once: bool) -> Option<Sender> {
+    pub fn take(&self, now: Time, server: &str, once: bool) -> Result<Kept, Absence> {
+        let once_idle = self.once_idle(now);
         let mut idle = self.idle.lock().expect("no panic while locked");
-        let list = idle.get_mut(server)?;
-        list.retain(|idle| now.since(idle.since) < idle.keep && !idle.sender.is_closed());
-        let last = list.last()?;
-        if once && now.since(last.since) > ONCE_IDLE {
-            return None;
+        let list = idle.get_mut(server).ok_or(Absence::None)?;
+        let before = list.len();
+        list.retain(|idle| !idle.sender.is_closed());
+        let closed = before > list.len();
+        list.retain(|idle| now.since(idle.since) < idle.keep);
+        let Some(last) = list.last() else {
+            return Err(match (before, closed) {
+                (0, _) => Absence::None,
+                (_, true) => Absence::Closed,
+                (_, false) => Absence::Old,
+            });
+        };
+        if once && now.since(last.since) > once_idle {
+            return Err(Absence::Old);
+        }
+        let last = list.pop().ok_or(Absence::None)?;
+        Ok(Kept {
+            sender: last.sender,
+            idle: now.since(last.since),
+        })
+    }
+
+    /// Notes that a connection that was used again after `idle` broke off
+    /// before its answer: most likely its server had dropped it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn note_dropped(&self, now: Time, idle: Duration) {
+        let mut dropped = self.dropped.lock().expect("no panic while locked");
+        let fresh = |old: &Dropped| now.since(old.at) < DROP_MEMORY;
+        let least = dropped.filter(fresh).map_or(idle, |old| old.idle.min(idle));
+        *dropped = Some(Dropped {
+            at: now,
+            idle: least,
+        });
+    }
+
+    fn once_idle(&self, now: Time) -> Duration {
+        let dropped = *self.dropped.lock().expect("no panic while locked");
+        match dropped.filter(|dropped| now.since(dropped.at) < DROP_MEMORY) {
+            Some(dropped) => (dropped.idle / 2).clamp(LEAST_ONCE_IDLE, ONCE_IDLE),
+            None => ONCE_IDLE,
         }
-        list.pop().map(|idle| idle.sender)
     }
 
     /// Keeps a connection for the next request.
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -174,6 +174,18 @@
     Late,
 }
 
+impl Failure {
+    /// Returns its name in metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not_sent",
+            Self::NotRun(_) => "not_run",
+            Self::Unknown(_) => "unknown",
+            Self::Late => "late",
+        }
+    }
+}
+
 /// The head of a server's answer, with its body still to be read.
 pub struct Started {
     /// Status and headers.
@@ -204,6 +216,8 @@
             response
         }
     };
+    let status = response.status();
+    gateway.meters.requests.with_label_values(&[status.as_str()]).inc();
     if gateway.turns_callers_away() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert("connection", close);
@@ -511,11 +525,15 @@
             return Err(Failure::NotSent("the server is gone".to_owned()));
         };
         let once = self.route.kind != Kind::Idempotent;
-        let mut kept = self.gateway.pool.take(self.now(), &lease.server, once);
+        let meters = &self.gateway.meters;
+        let taken = self.gateway.pool.take(self.now(), &lease.server, once);
+        let source = taken.as_ref().map_or_else(|absence| absence.label(), |_| "kept");
+        meters.connections.with_label_values(&[source]).inc();
+        let mut kept = taken.ok();
         loop {
-            let fresh = kept.is_none();
+            let idle = kept.as_ref().map(|kept| kept.idle);
             let sender = match kept.take() {
-                Some(sender) => sender,
+                Some(kept) => kept.sender,
                 None => match self.gateway.pool.connect(address).await {
                     Ok(sender) => sender,
                     Err(error) => {
@@ -527,8 +545,14 @@
             match self.send_on(sender, &mut lease, last_event).await {
                 Ok(started) => return self.check(started, lease),
                 // The kept connection was closed before a byte went out.
-                Err(Failure::NotSent(_)) if !fresh => continue,
+                Err(Failure::NotSent(_)) if idle.is_some() => {
+                    let label = "new_closed_at_use";
+                    meters.connections.with_label_values(&[label]).inc();
+                }
                 Err(failure) => {
+                    if let (Some(idle), Failure::Unknown(_)) = (idle, &failure) {
+                        self.gateway.pool.note_dropped(self.now(), idle);
+                    }
                     let broken = !matches!(failure, Failure::Late);
                     lease.end(
                         if broken {
@@ -622,6 +646,8 @@
         }
         lease.keep = answer.keep;
         if answer.closing {
+            let label = "closed_by_answer";
+            self.gateway.meters.connections.with_label_values(&[label]).inc();
             lease.sender = None;
         }
         Ok(Started {
@@ -687,6 +713,12 @@
         Ok(response)
     }
 
+    /// Notes the time to the first event of a stream.
+    pub fn observe_first_event(&self) {
+        let time = self.now().since(self.start);
+        self.gateway.meters.first_event.observe(time.as_secs_f64());
+    }
+
     /// Answers with a stream.
     async fn stream(self, open: Option<OpenTurn>) -> Result<Response<Body>, Refusal> {
         Flow::start(Arc::new(self), open).await
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -34,6 +34,9 @@
 /// Longest such wait: what is accepted has to be in force soon after the
 /// store is back.
 const LONGEST_WAIT: Duration = Duration::from_millis(400);
+/// Pause after each answer of a watch, so that changes that come together
+/// cost one call; small against the seconds within which they are due.
+const GATHER: Duration = Duration::from_millis(150);
 /// Time between looks for servers whose entries did not come back.
 const EXPIRE_EVERY: Duration = Duration::from_millis(100);
 
@@ -107,6 +110,7 @@
                 Ok(()) => {
                     fresh = true;
                     wait = FIRST_WAIT;
+                    smol::Timer::after(GATHER).await;
                     continue;
                 }
                 Err(PlatformError::Reply(ReplyError::Compacted)) => {
