--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::Parser;
 use limpetferry_net::gateway;
-use limpetferry_net::start::start;
+use limpetferry_net::start::start_live;
 
 /// Runs the limpetferry gateway process.
 #[derive(Parser)]
@@ -20,5 +20,5 @@
 
 fn main() -> eyre::Result<()> {
     let args = Args::parse();
-    start(&args.settings, args.check, gateway::run)
+    start_live(&args.settings, args.check, gateway::run)
 }
--- a/keeper/src/main.rs
+++ b/keeper/src/main.rs
@@ -4,7 +4,7 @@
 
 use clap::Parser;
 use limpetferry_net::keeper_node;
-use limpetferry_net::start::start;
+use limpetferry_net::start::start_live;
 
 /// Runs the limpetferry keeper process.
 #[derive(Parser)]
@@ -20,5 +20,5 @@
 
 fn main() -> eyre::Result<()> {
     let args = Args::parse();
-    start(&args.settings, args.check, keeper_node::run)
+    start_live(&args.settings, args.check, keeper_node::run)
 }
--- a/lib/src/ask.rs
+++ b/lib/src/ask.rs
@@ -39,6 +39,20 @@
     pub items: Vec<Stored>,
 }
 
+/// A change of what the platform's store holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Change {
+    /// The key.
+    pub key: String,
+    /// The value; `None` if the item was removed.
+    pub value: Option<Bytes>,
+    /// Revision of the change.
+    pub revision: u64,
+    /// Whether it was removed while the store was away, so that its owner may
+    /// live and write it anew.
+    pub lapsed: bool,
+}
+
 /// What a keeper is asked.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Question {
@@ -85,9 +99,9 @@
         /// The programs.
         programs: Vec<Arc<str>>,
     },
-    /// Give what is known from the platform's store, if it is newer than
-    /// `after`.
-    Snapshot {
+    /// Give what has changed in the platform's store since `after`, or wait a
+    /// while for it.
+    Follow {
         /// Revision of the store up to which the asker knows it.
         after: u64,
     },
@@ -103,7 +117,7 @@
             Self::Chain { .. } => "chain",
             Self::Digests { .. } => "digests",
             Self::Records { .. } => "records",
-            Self::Snapshot { .. } => "snapshot",
+            Self::Follow { .. } => "follow",
         }
     }
 }
@@ -145,8 +159,18 @@
         /// How many programs they belong to.
         programs: usize,
     },
-    /// What is known from the platform's store; empty if it is not newer.
+    /// All that is known from the platform's store.
     Snapshot(Snapshot),
+    /// What has changed in the platform's store.
+    Changes {
+        /// The changes, if there are any.
+        changes: Vec<Change>,
+        /// Revision up to which they are complete.
+        revision: u64,
+        /// Whether the store does not answer the keeper, so that there may be
+        /// later ones.
+        away: bool,
+    },
     /// The asker goes by an old list.
     Stale(Membership),
     /// The keeper cannot do it now.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -295,7 +295,10 @@
     /// Returns how many servers take requests.
     pub fn ready_count(&self) -> usize {
         let mut members = self.members.values();
-        members.by_ref().filter(|member| member.server.state == ServerState::Ready).count()
+        members
+            .by_ref()
+            .filter(|member| member.server.state == ServerState::Ready)
+            .count()
     }
 
     /// Returns how many servers of a service take requests.
--- a/lib/tests/turnaway.rs
+++ b/lib/tests/turnaway.rs
@@ -40,7 +40,10 @@
         now = now + Duration::from_millis(RESEND_MS);
     }
 
-    assert!(now >= Time::from_millis(2_000), "the last send ends at {now:?}");
+    assert!(
+        now >= Time::from_millis(2_000),
+        "the last send ends at {now:?}"
+    );
 }
 
 #[test]
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::clock::Clock;
 use crate::gateway_settings::GatewaySettings;
 use crate::hearsay;
+use crate::held::Held;
 use crate::http;
 use crate::http::Body;
 use crate::http::Bounds;
@@ -39,6 +40,7 @@
 use crate::relay::Failure;
 use crate::relay::Job;
 use crate::relay::Refusal;
+use crate::reload::Live;
 use crate::replicas::Replicas;
 use crate::site::Site;
 use crate::turns::Turns;
@@ -70,6 +72,9 @@
     pub pool: Pool,
     /// Turns of programs.
     pub turns: Arc<Turns>,
+    /// Bytes of requests that it holds.
+    pub held: Held,
+    live: Live<GatewaySettings>,
     /// Its metrics.
     pub meters: GatewayMeters,
     stopping: AtomicBool,
@@ -78,6 +83,11 @@
 }
 
 impl Gateway {
+    /// Returns the most bytes of requests that it holds at once.
+    pub fn most_held(&self) -> usize {
+        self.live.get().bodies_mb << 20
+    }
+
     /// Returns whether a planned stop has begun.
     pub fn is_stopping(&self) -> bool {
         self.stopping.load(Ordering::Relaxed)
@@ -149,7 +159,10 @@
 
     /// Notes that an attempt at one server gave no answer.
     pub fn attempt_failed(&self, attempt: &str, key: ServerKey, failure: &Failure) {
-        self.meters.failures.with_label_values(&[failure.label()]).inc();
+        self.meters
+            .failures
+            .with_label_values(&[failure.label()])
+            .inc();
         let server = self.site.known().fleet.server(key).map(|s| s.id.clone());
         self.note(
             Note::new("attempt_failed")
@@ -201,8 +214,15 @@
         let mut note = Note::new("summary");
         for family in self.meters.connections.collect() {
             for metric in family.get_metric() {
-                let source = metric.get_label().first().map(|label| label.value().to_owned());
-                let pair = format!("{}:{}", source.unwrap_or_default(), metric.get_counter().get_value());
+                let source = metric
+                    .get_label()
+                    .first()
+                    .map(|label| label.value().to_owned());
+                let pair = format!(
+                    "{}:{}",
+                    source.unwrap_or_default(),
+                    metric.get_counter().get_value()
+                );
                 note = note.with("connections", pair);
             }
         }
@@ -231,7 +251,8 @@
 /// # Errors
 ///
 /// Returns an error if one of its addresses cannot be used.
-pub async fn run(settings: GatewaySettings, stop: Receiver<()>) -> eyre::Result<()> {
+pub async fn run(live: Live<GatewaySettings>, stop: Receiver<()>) -> eyre::Result<()> {
+    let settings = live.get();
     let common = &settings.common;
     let clock = Clock::default();
     let (changed, changes) = async_channel::bounded(1);
@@ -248,6 +269,7 @@
         replicas.clone(),
         hello,
         seeds,
+        clock,
     ))
     .detach();
     let turns = Turns::new(site.clone(), replicas.clone(), common.faults, clock);
@@ -258,6 +280,8 @@
         site: site.clone(),
         pool: Pool::default(),
         turns,
+        held: Held::default(),
+        live: live.clone(),
         meters: GatewayMeters::new()?,
         stopping: AtomicBool::new(false),
         in_touch: AtomicBool::new(false),
@@ -304,7 +328,7 @@
     gateway.note(Note::new("stopping"));
     smol::Timer::after(LINGER).await;
     close.close();
-    let limit = Duration::from_millis(common.stop_ms).saturating_sub(STOP_SPARE);
+    let limit = Duration::from_millis(live.get().common.stop_ms).saturating_sub(STOP_SPARE);
     while Arc::strong_count(&gateway) > gateway_holders() && clock.now().since(begun) < limit {
         smol::Timer::after(STOP_LOOK).await;
     }
--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -94,6 +94,10 @@
     fn log(&self) -> &LogSettings {
         &self.common.log
     }
+
+    fn node(&self) -> &str {
+        &self.common.node
+    }
 }
 
 /// Settings of a keeper.
@@ -117,4 +121,8 @@
     fn log(&self) -> &LogSettings {
         &self.common.log
     }
+
+    fn node(&self) -> &str {
+        &self.common.node
+    }
 }
--- a/net/src/hearsay.rs
+++ b/net/src/hearsay.rs
@@ -1,5 +1,5 @@
-//! What the platform's store holds, from keepers, while the store does not
-//! answer this process.
+//! What the platform's store holds, from keepers: they watch it for all, and
+//! tell gateways and keepers that it does not answer.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -9,52 +9,113 @@
 use limpetferry_lib::ask::Question;
 use limpetferry_lib::ask::Reply;
 use limpetferry_lib::ask::Ticket;
+use limpetferry_lib::membership::Membership;
 
+use crate::clock::Clock;
 use crate::peer;
 use crate::peer::Hello;
 use crate::replicas::Replicas;
 use crate::site::Site;
 use crate::timeout::within;
 
-/// Time between questions while the store is away: what is accepted has to be
-/// in force within seconds, and an answer without news is a few bytes.
-const ASK_EVERY: Duration = Duration::from_millis(100);
-/// Wait for a keeper's answer.
-const ANSWER_WAIT: Duration = Duration::from_millis(200);
+/// Pause before the next keeper is asked.
+const NEXT_PAUSE: Duration = Duration::from_millis(100);
+/// How long a keeper holds a question without news.
+pub const HOLD: Duration = Duration::from_millis(700);
+/// Wait for a keeper's answer beyond that.
+const ANSWER_SPARE: Duration = Duration::from_millis(400);
 /// Wait for the answer of a keeper to which there is no link yet.
 const SEED_WAIT: Duration = Duration::from_millis(300);
 
-/// Asks keepers for as long as the process runs.
+/// Lets a gateway follow one keeper after the other for as long as it runs, so
+/// that it needs no watch of its own.
 pub async fn follow(
     site: Arc<Site>,
     replicas: Arc<Replicas>,
     hello: Hello,
     seeds: Vec<SocketAddr>,
+    clock: Clock,
 ) {
+    let mut turn = rand::random::<u32>() as usize;
+    loop {
+        if !ask_once(&site, &replicas, &hello, &seeds, turn, Some(clock)).await {
+            turn = turn.wrapping_add(1);
+            smol::Timer::after(NEXT_PAUSE).await;
+        }
+    }
+}
+
+/// Lets a keeper ask the other ones for as long as it runs, while the store
+/// does not answer it. It goes on asking the store: if keepers relied on each
+/// other, none would.
+pub async fn follow_when_away(
+    site: Arc<Site>,
+    replicas: Arc<Replicas>,
+    hello: Hello,
+    seeds: Vec<SocketAddr>,
+) {
+    let mut turn = rand::random::<u32>() as usize;
     loop {
         if site.is_away() {
-            if site.known().keepers.keepers.is_empty() {
-                ask_seeds(&site, &hello, &seeds).await;
-            } else {
-                ask_keepers(&site, &replicas).await;
-            }
+            ask_once(&site, &replicas, &hello, &seeds, turn, None).await;
+            turn = turn.wrapping_add(1);
         }
-        smol::Timer::after(ASK_EVERY).await;
+        smol::Timer::after(NEXT_PAUSE).await;
     }
 }
 
-async fn ask_keepers(site: &Site, replicas: &Replicas) {
+/// Asks one keeper, or the seeds if none is known; returns whether it hears
+/// from the store. That is noted where a clock is given.
+async fn ask_once(
+    site: &Site,
+    replicas: &Replicas,
+    hello: &Hello,
+    seeds: &[SocketAddr],
+    turn: usize,
+    clock: Option<Clock>,
+) -> bool {
     let keepers = site.known().keepers.clone();
+    if !keepers.keepers.is_empty() {
+        return follow_one(site, replicas, &keepers, turn, clock).await;
+    }
+    if site.is_away() {
+        ask_seeds(site, hello, seeds).await;
+    }
+    false
+}
+
+/// Asks a keeper for news; returns whether it hears from the store.
+async fn follow_one(
+    site: &Site,
+    replicas: &Replicas,
+    keepers: &Membership,
+    turn: usize,
+    clock: Option<Clock>,
+) -> bool {
+    let node = &keepers.keepers[turn % keepers.keepers.len()].node;
     let after = site.known().revision;
     let (sender, heard) = async_channel::unbounded();
-    for keeper in &keepers.keepers {
-        replicas.ask(&keeper.node, Question::Snapshot { after }, &sender);
+    if !replicas.ask(node, Question::Follow { after }, &sender) {
+        return false;
     }
-    drop(sender);
-    while let Some(Ok(heard)) = within(ANSWER_WAIT, heard.recv()).await {
-        if let Some(Reply::Snapshot(snapshot)) = heard.reply {
-            site.take_snapshot(snapshot, &heard.node);
+    let heard = within(HOLD + ANSWER_SPARE, heard.recv()).await;
+    match heard.and_then(|heard| heard.ok()?.reply) {
+        Some(Reply::Snapshot(snapshot)) => {
+            site.take_snapshot(snapshot, node);
+            false
+        }
+        Some(Reply::Changes {
+            changes,
+            revision,
+            away,
+        }) => {
+            site.take_changes(changes, revision);
+            if let (false, Some(clock)) = (away, clock) {
+                site.note_fed(clock.now());
+            }
+            !away
         }
+        _ => false,
     }
 }
 
@@ -85,7 +146,7 @@
     let link = peer::dial(address, hello).await.ok()?;
     let (outgoing, questions) = async_channel::bounded(1);
     let (incoming, answers) = async_channel::bounded(1);
-    let question = Question::Snapshot { after: 0 };
+    let question = Question::Follow { after: 0 };
     outgoing
         .send(KeeperMessage::Ask(Ticket(0), question))
         .await
--- /dev/null
+++ b/net/src/held.rs
@@ -0,0 +1,41 @@
+//! A bound on the bytes of requests that are held at once.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+
+/// Counts the bytes that are held.
+#[derive(Clone, Debug, Default)]
+pub struct Held {
+    bytes: Arc<AtomicUsize>,
+}
+
+/// Bytes that are held until this is dropped.
+#[derive(Debug)]
+pub struct Hold {
+    held: Held,
+    bytes: usize,
+}
+
+impl Held {
+    /// Holds `bytes`; `None` if all together would be more than `most`.
+    pub fn hold(&self, bytes: usize, most: usize) -> Option<Hold> {
+        let before = self.bytes.fetch_add(bytes, Ordering::Relaxed);
+        let hold = Hold {
+            held: self.clone(),
+            bytes,
+        };
+        (before + bytes <= most).then_some(hold)
+    }
+
+    /// Returns the bytes that are held.
+    pub fn bytes(&self) -> usize {
+        self.bytes.load(Ordering::Relaxed)
+    }
+}
+
+impl Drop for Hold {
+    fn drop(&mut self) {
+        self.held.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
+    }
+}
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -10,7 +10,6 @@
 use limpetferry_lib::ask::KeeperMessage;
 use limpetferry_lib::ask::Question;
 use limpetferry_lib::ask::Reply;
-use limpetferry_lib::ask::Snapshot;
 use limpetferry_lib::ask::Ticket;
 use limpetferry_lib::effect::Note;
 use limpetferry_lib::id::Boot;
@@ -27,19 +26,21 @@
 use crate::disk::Job;
 use crate::gateway_settings::KeeperSettings;
 use crate::hearsay;
-use crate::keeper_list::KeeperList;
 use crate::http;
 use crate::http::Bounds;
+use crate::keeper_list::KeeperList;
 use crate::log;
 use crate::meters::KeeperMeters;
 use crate::metrics;
 use crate::peer;
 use crate::peer::Hello;
 use crate::platform_store::PlatformStore;
+use crate::reload::Live;
 use crate::replicas::Replicas;
 use crate::segments::Segments;
 use crate::site::Site;
 use crate::site_file;
+use crate::timeout::within;
 
 /// How long turns are kept after their program's last one: the routes of the
 /// sheets ask for 60 s, and clocks and queues need some seconds more.
@@ -128,12 +129,15 @@
 
     /// Answers a question.
     fn answer(
-        &self,
+        self: &Arc<Self>,
         ticket: Ticket,
         question: Question,
         sender: &async_channel::Sender<KeeperMessage>,
     ) {
-        self.meters.questions.with_label_values(&[question.label()]).inc();
+        self.meters
+            .questions
+            .with_label_values(&[question.label()])
+            .inc();
         let reply = match question {
             Question::Note { epoch, .. } | Question::End { epoch, .. } if self.is_stale(epoch) => {
                 Reply::Stale(Membership::clone(&self.site.known().keepers))
@@ -176,19 +180,41 @@
                 }
             }
             Question::Records { programs } => self.records(&programs),
-            Question::Snapshot { after } => {
-                let newer = self.site.known().revision > after;
-                Reply::Snapshot(if newer {
-                    self.site.snapshot()
-                } else {
-                    Snapshot::default()
-                })
+            Question::Follow { after } => {
+                self.clone().follow(ticket, after, sender.clone());
+                return;
             }
         };
         // The asker may have left.
         let _ = sender.try_send(KeeperMessage::Tell(ticket, reply));
     }
 
+    /// Answers with what has changed in the platform's store, as soon as
+    /// something has.
+    fn follow(
+        self: Arc<Self>,
+        ticket: Ticket,
+        after: u64,
+        sender: async_channel::Sender<KeeperMessage>,
+    ) {
+        smol::spawn(async move {
+            let waiting = self.site.wait_news();
+            let mut news = self.site.news(after);
+            if news.is_none() && !self.site.is_away() {
+                within(hearsay::HOLD, waiting.recv()).await;
+                news = self.site.news(after);
+            }
+            let reply = news.unwrap_or_else(|| Reply::Changes {
+                changes: Vec::new(),
+                revision: self.site.known().revision,
+                away: self.site.is_away(),
+            });
+            // The asker may have left.
+            let _ = sender.try_send(KeeperMessage::Tell(ticket, reply));
+        })
+        .detach();
+    }
+
     fn is_stale(&self, epoch: u64) -> bool {
         epoch < self.site.known().keepers.epoch
     }
@@ -276,7 +302,9 @@
         drop(state);
         self.meters.disk_bytes.set(self.disk.bytes() as i64);
         self.meters.disk_waiting.set(self.disk.waiting() as i64);
-        self.meters.epoch.set(self.site.known().keepers.epoch as i64);
+        self.meters
+            .epoch
+            .set(self.site.known().keepers.epoch as i64);
     }
 
     /// Puts what is known from the platform's store on disk whenever it
@@ -305,7 +333,7 @@
         }
     }
 
-    async fn serve(&self, stream: smol::net::TcpStream, hello: &Hello) {
+    async fn serve(self: Arc<Self>, stream: smol::net::TcpStream, hello: &Hello) {
         let link = match peer::accept(stream, hello).await {
             Ok(link) => link,
             Err(error) => {
@@ -350,7 +378,8 @@
 /// # Errors
 ///
 /// Returns an error if its folder or its address cannot be used.
-pub async fn run(settings: KeeperSettings, stop: Receiver<()>) -> eyre::Result<()> {
+pub async fn run(live: Live<KeeperSettings>, stop: Receiver<()>) -> eyre::Result<()> {
+    let settings = live.get();
     let common = &settings.common;
     let folder = &settings.data.folder;
     let most = settings.data.most << 20;
@@ -410,7 +439,7 @@
     smol::spawn(site.follow(PlatformStore::new(common.store))).detach();
     let replicas = Replicas::new(hello.clone(), clock);
     let seeds = common.seeds.clone();
-    smol::spawn(hearsay::follow(
+    smol::spawn(hearsay::follow_when_away(
         keeper.site.clone(),
         replicas.clone(),
         hello,
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -93,7 +93,8 @@
         Ok(Self {
             requests: make.counters("requests_total", "Requests by status", "status")?,
             request_time: make.seconds("request_seconds", "From a request to its answer's end")?,
-            first_event: make.seconds("first_event_seconds", "From a request to the first event")?,
+            first_event: make
+                .seconds("first_event_seconds", "From a request to the first event")?,
             failures: make.counters("attempt_failures_total", "Attempts without answer", "kind")?,
             connections: make.counters("connections_total", "Connections used", "source")?,
             resumed: make.counter("streams_resumed_total", "Streams that went on")?,
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -29,6 +29,7 @@
 
 use crate::flow::Flow;
 use crate::gateway::Gateway;
+use crate::held::Hold;
 use crate::http::Body;
 use crate::http::Sender;
 use crate::http::whole;
@@ -47,6 +48,9 @@
 /// When to come back while too few keepers answer: one is back in some
 /// hundred milliseconds.
 const RETRY_KEEPERS: Duration = Duration::from_millis(250);
+/// Bytes held for a body that does not say its length, some of the sheets'
+/// largest prompts.
+const USUAL_BODY: usize = 16 << 10;
 /// Pause before a server that is full is asked again to go on with a stream.
 const SAME_PAUSE: Duration = Duration::from_millis(40);
 /// Time left below which a request is not sent any more.
@@ -122,6 +126,8 @@
     pub start: Time,
     /// When its caller gets a last answer.
     pub limit: Time,
+    /// Its part of what the gateway holds.
+    pub hold: Hold,
 }
 
 /// A request at a server.
@@ -217,7 +223,11 @@
         }
     };
     let status = response.status();
-    gateway.meters.requests.with_label_values(&[status.as_str()]).inc();
+    gateway
+        .meters
+        .requests
+        .with_label_values(&[status.as_str()])
+        .inc();
     if gateway.turns_callers_away() {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert("connection", close);
@@ -258,6 +268,18 @@
             .patience
             .map_or(route.timeout, |wait| wait.min(route.timeout));
     let left = limit.since(gateway.clock.now());
+    // A body without a length is taken for a usual one until it is here.
+    let size = hyper::body::Body::size_hint(&body).lower() as usize;
+    if size > routing.limits.body {
+        return Err(too_long());
+    }
+    let hold = gateway.held.hold(size.max(USUAL_BODY), gateway.most_held());
+    let Some(hold) = hold else {
+        return Err(Refusal::later(
+            RETRY_FULL,
+            "too many requests are held here; come back",
+        ));
+    };
     let body = within(left, read_body(body, routing.limits.body))
         .await
         .unwrap_or_else(|| {
@@ -283,6 +305,7 @@
         start,
         limit,
         route,
+        hold,
     };
     match job.route.kind {
         Kind::Stream { .. } => {
@@ -293,16 +316,14 @@
     }
 }
 
+fn too_long() -> Refusal {
+    Refusal::new(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        "the body is longer than the routing document allows; send less",
+    )
+}
+
 async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    let too_long = || {
-        Refusal::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "the body is longer than the routing document allows; send less",
-        )
-    };
-    if hyper::body::Body::size_hint(&body).lower() > limit as u64 {
-        return Err(too_long());
-    }
     match Limited::new(body, limit).collect().await {
         Ok(body) => Ok(body.to_bytes()),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(too_long()),
@@ -527,7 +548,9 @@
         let once = self.route.kind != Kind::Idempotent;
         let meters = &self.gateway.meters;
         let taken = self.gateway.pool.take(self.now(), &lease.server, once);
-        let source = taken.as_ref().map_or_else(|absence| absence.label(), |_| "kept");
+        let source = taken
+            .as_ref()
+            .map_or_else(|absence| absence.label(), |_| "kept");
         meters.connections.with_label_values(&[source]).inc();
         let mut kept = taken.ok();
         loop {
@@ -647,7 +670,11 @@
         lease.keep = answer.keep;
         if answer.closing {
             let label = "closed_by_answer";
-            self.gateway.meters.connections.with_label_values(&[label]).inc();
+            self.gateway
+                .meters
+                .connections
+                .with_label_values(&[label])
+                .inc();
             lease.sender = None;
         }
         Ok(Started {
--- a/net/src/settings.rs
+++ b/net/src/settings.rs
@@ -209,6 +209,9 @@
 
     /// Returns where log lines go.
     fn log(&self) -> &LogSettings;
+
+    /// Returns the name of the process.
+    fn node(&self) -> &str;
 }
 
 impl Check for EntrySettings {
@@ -237,6 +240,10 @@
     fn log(&self) -> &LogSettings {
         &self.common.log
     }
+
+    fn node(&self) -> &str {
+        self.common.node.as_str()
+    }
 }
 
 impl Check for SideSettings {
@@ -250,6 +257,10 @@
     fn log(&self) -> &LogSettings {
         &self.common.log
     }
+
+    fn node(&self) -> &str {
+        self.common.node.as_str()
+    }
 }
 
 pub(crate) fn check_key(path: &str, key: &str, faults: &mut Vec<Fault>) {
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -3,6 +3,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashSet;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -10,6 +11,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use limpetferry_lib::ask::Change;
+use limpetferry_lib::ask::Reply;
 use limpetferry_lib::ask::Snapshot;
 use limpetferry_lib::ask::Stored;
 use limpetferry_lib::effect::Note;
@@ -17,6 +20,7 @@
 use limpetferry_lib::fleet::LAPSE_WAIT;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::routing::Routing;
+use limpetferry_lib::time::Time;
 use limpetferry_platform::document;
 use limpetferry_platform::store::Changes;
 use limpetferry_platform::store::Item;
@@ -37,6 +41,14 @@
 /// Pause after each answer of a watch, so that changes that come together
 /// cost one call; small against the seconds within which they are due.
 const GATHER: Duration = Duration::from_millis(150);
+/// How long what a keeper last said holds: two of its answers, which come at
+/// least every 0.7 s.
+const FED_WAIT: Duration = Duration::from_millis(1_500);
+/// Time between looks whether keepers still tell.
+const FED_LOOK: Duration = Duration::from_millis(100);
+/// Changes kept for those that follow: some minutes of a release of hundreds
+/// of servers.
+const MAX_LOG: usize = 4_096;
 /// Time between looks for servers whose entries did not come back.
 const EXPIRE_EVERY: Duration = Duration::from_millis(100);
 
@@ -58,6 +70,12 @@
     /// Whether the store was read in this life of the process.
     pub read: bool,
     items: BTreeMap<String, Stored>,
+    /// Changes for those that follow this process, oldest first.
+    log: VecDeque<Change>,
+    /// Revision after which the log is complete.
+    log_from: u64,
+    /// When a keeper that hears from the store was last heard of.
+    fed: Option<Time>,
 }
 
 /// What a gateway knows of the site.
@@ -67,6 +85,8 @@
     known: Mutex<Known>,
     changed: async_channel::Sender<()>,
     away: AtomicBool,
+    /// Those that wait for news.
+    waiting: Mutex<Vec<async_channel::Sender<()>>>,
 }
 
 impl Site {
@@ -79,6 +99,7 @@
             known: Mutex::default(),
             changed,
             away: AtomicBool::new(true),
+            waiting: Mutex::default(),
         })
     }
 
@@ -101,6 +122,12 @@
         let mut away = false;
         let mut fresh = false;
         loop {
+            if self.is_fed() && self.known().read {
+                // A keeper tells what the store tells it: one watch less.
+                fresh = false;
+                smol::Timer::after(FED_LOOK).await;
+                continue;
+            }
             let result = if fresh {
                 self.watch(&mut store, &mut away).await
             } else {
@@ -123,6 +150,7 @@
                 Err(error) if !away => {
                     away = true;
                     self.away.store(true, Ordering::Relaxed);
+                    self.tell_waiting();
                     self.note(Note::new("store_lost").with("why", error));
                 }
                 Err(_) => {}
@@ -140,7 +168,10 @@
         let page = store.list("").await?;
         let lapsed = self.back(away, page.revision);
         self.take_all(page.items, page.revision, lapsed);
-        self.known().read = true;
+        let mut known = self.known();
+        if !std::mem::replace(&mut known.read, true) {
+            known.log_from = known.revision;
+        }
         Ok(())
     }
 
@@ -164,6 +195,7 @@
             self.apply(gone, lapsed);
         }
         self.known().revision = revision;
+        self.tell_waiting();
     }
 
     /// Returns what is known from the store.
@@ -175,6 +207,68 @@
         }
     }
 
+    /// Returns what says that there may be news: changes, or that the store no
+    /// longer answers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn wait_news(&self) -> async_channel::Receiver<()> {
+        let (sender, receiver) = async_channel::bounded(1);
+        let mut waiting = self.waiting.lock().expect("no panic while locked");
+        waiting.retain(|sender| !sender.is_closed());
+        waiting.push(sender);
+        receiver
+    }
+
+    fn tell_waiting(&self) {
+        // A sender that is dropped wakes its receiver.
+        self.waiting.lock().expect("no panic while locked").clear();
+    }
+
+    /// Returns what has changed after a revision, or all if that is too long
+    /// ago; `None` if nothing has.
+    pub fn news(&self, after: u64) -> Option<Reply> {
+        let known = self.known();
+        if known.revision <= after {
+            return None;
+        }
+        if after < known.log_from {
+            drop(known);
+            return Some(Reply::Snapshot(self.snapshot()));
+        }
+        let news = known.log.iter().filter(|change| change.revision > after);
+        Some(Reply::Changes {
+            changes: news.cloned().collect(),
+            revision: known.revision,
+            away: self.is_away(),
+        })
+    }
+
+    /// Takes changes that a keeper heard of from the store.
+    pub fn take_changes(&self, changes: Vec<Change>, revision: u64) {
+        for change in changes {
+            let item = Item {
+                key: change.key,
+                value: change.value,
+                revision: change.revision,
+            };
+            self.apply(item, change.lapsed);
+        }
+        let mut known = self.known();
+        known.revision = known.revision.max(revision);
+    }
+
+    /// Notes that a keeper that hears from the store was heard of.
+    pub fn note_fed(&self, now: Time) {
+        self.known().fed = Some(now);
+    }
+
+    fn is_fed(&self) -> bool {
+        let fed = self.known().fed;
+        fed.is_some_and(|at| self.clock.now().since(at) < FED_WAIT)
+    }
+
     /// Takes what another process knows from the store, if it is newer.
     pub fn take_snapshot(&self, snapshot: Snapshot, from: &str) {
         let revision = snapshot.revision;
@@ -192,6 +286,8 @@
         });
         // Servers may be missing there only because their entries lapsed.
         self.take_all(items.collect(), revision, true);
+        let mut known = self.known();
+        known.log_from = known.log_from.max(revision);
     }
 
     async fn watch(&self, store: &mut PlatformStore, away: &mut bool) -> Result<(), PlatformError> {
@@ -206,6 +302,8 @@
         }
         let mut known = self.known();
         known.revision = known.revision.max(changes.revision);
+        drop(known);
+        self.tell_waiting();
         Ok(())
     }
 
@@ -221,7 +319,7 @@
     }
 
     fn apply(&self, item: Item, lapsed: bool) {
-        if !self.store_item(&item) {
+        if !self.store_item(&item, lapsed) {
             return;
         }
         let Item {
@@ -244,7 +342,7 @@
     }
 
     /// Keeps an item for other processes; returns whether it is news.
-    fn store_item(&self, item: &Item) -> bool {
+    fn store_item(&self, item: &Item, lapsed: bool) -> bool {
         let mut known = self.known();
         let old = known.items.get(&item.key).map_or(0, |old| old.revision);
         if item.revision <= old {
@@ -263,6 +361,17 @@
                 known.items.remove(&item.key);
             }
         }
+        known.log.push_back(Change {
+            key: item.key.clone(),
+            value: item.value.clone(),
+            revision: item.revision,
+            lapsed,
+        });
+        if known.log.len() > MAX_LOG
+            && let Some(oldest) = known.log.pop_front()
+        {
+            known.log_from = known.log_from.max(oldest.revision);
+        }
         true
     }
 
--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -6,10 +6,39 @@
 use async_channel::Receiver;
 
 use crate::log;
+use crate::reload::Live;
 use crate::settings;
 use crate::settings::Check;
+use crate::signals::reload_signal;
 use crate::signals::stop_signal;
 
+/// Does the same as [`start`] for a process that takes changed settings while
+/// it runs.
+///
+/// # Errors
+///
+/// Returns an error if the settings have faults, or that of the process.
+pub fn start_live<S, F>(
+    file: &Path,
+    check: bool,
+    run: impl FnOnce(Live<S>, Receiver<()>) -> F,
+) -> eyre::Result<()>
+where
+    S: Check + PartialEq + Send + Sync + 'static,
+    F: Future<Output = eyre::Result<()>> + Send + 'static,
+{
+    start(file, check, |settings: S, stop| {
+        let node = settings.node().to_owned();
+        let live = Live::new(file, settings);
+        let reload = reload_signal();
+        let running = run(live.clone(), stop);
+        async move {
+            smol::spawn(live.follow(node, reload?)).detach();
+            running.await
+        }
+    })
+}
+
 /// Reads the settings in `file` and runs a process with them until a signal
 /// stops it; with `check`, only checks them.
 ///
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -286,7 +286,8 @@
                 Reply::Chain { .. }
                 | Reply::Digests { .. }
                 | Reply::Records { .. }
-                | Reply::Snapshot(_),
+                | Reply::Snapshot(_)
+                | Reply::Changes { .. },
             ) => return Some(Verdict::Wait),
             Some(Reply::Failed(_)) | None => {
                 round.asked.remove(&at);
--- a/testutils/src/engine.rs
+++ b/testutils/src/engine.rs
@@ -2,7 +2,6 @@
 //! a prefix cache by user, release, and fencing numbers.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -18,6 +17,7 @@
 use hyper::body::Incoming;
 use limpetferry_net::backend::FENCE_HEADER;
 use limpetferry_net::http::Body;
+use limpetferry_net::http::Cut;
 use limpetferry_net::http::Handler;
 use limpetferry_net::http::json as json_answer;
 use serde::Deserialize;
@@ -218,7 +218,7 @@
         if !wait.is_zero() {
             smol::Timer::after(wait).await;
         }
-        Some((Ok::<_, Infallible>(Frame::data(piece)), (pieces, running)))
+        Some((Ok::<_, Cut>(Frame::data(piece)), (pieces, running)))
     });
     let (sender, receiver) = async_channel::bounded(4);
     // The answer is made by a task of its own, which ends when the caller
@@ -235,7 +235,9 @@
         }
     })
     .detach();
-    let mut response = Response::new(http_body_util::BodyExt::boxed(StreamBody::new(receiver)));
+    let mut response = Response::new(http_body_util::BodyExt::boxed_unsync(StreamBody::new(
+        receiver,
+    )));
     let kind = HeaderValue::from_static("text/event-stream");
     response.headers_mut().insert("content-type", kind);
     response
--- /dev/null
+++ b/testutils/src/folder.rs
@@ -0,0 +1,40 @@
+//! Temporary folders of sites under test.
+
+use std::ops::Deref;
+use std::path::Path;
+use std::path::PathBuf;
+
+/// A folder that goes with its site, unless the test fails: the logs in it say
+/// what the processes did.
+pub struct Folder(PathBuf);
+
+impl Default for Folder {
+    /// Names a new folder.
+    fn default() -> Self {
+        let name = format!(
+            "limpetferry-{}-{:x}",
+            std::process::id(),
+            rand::random::<u64>()
+        );
+        Self(std::env::temp_dir().join(name))
+    }
+}
+
+impl Deref for Folder {
+    type Target = Path;
+
+    fn deref(&self) -> &Path {
+        &self.0
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        if std::thread::panicking() && self.0.exists() {
+            eprintln!("the site's settings and logs are in {}", self.0.display());
+            return;
+        }
+        // What the system keeps of a temporary folder does no harm.
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -4,7 +4,11 @@
 pub mod client;
 pub mod engine;
 pub mod experiment;
+pub mod folder;
 pub mod listen;
+pub mod platform_server;
+pub mod platform_site;
+pub mod platform_store;
 pub mod probe;
 pub mod process;
 pub mod service;
--- a/testutils/src/listen.rs
+++ b/testutils/src/listen.rs
@@ -1,5 +1,6 @@
 //! Listeners of the stand-ins.
 
+use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 
 use limpetferry_net::http::Bounds;
@@ -34,3 +35,21 @@
 pub fn any_port() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
+
+/// Returns an address with a port that the system gave. The loopback address
+/// is drawn anew each time, so that no outgoing connection takes the port
+/// before the process that it is for.
+///
+/// # Panics
+///
+/// Panics if no port is free.
+pub fn free() -> SocketAddr {
+    let ip = Ipv4Addr::new(
+        127,
+        rand::random_range(1..255),
+        rand::random_range(0..255),
+        rand::random_range(1..255),
+    );
+    let listener = std::net::TcpListener::bind((ip, 0)).expect("a port is free");
+    listener.local_addr().expect("a bound listener has one")
+}
--- /dev/null
+++ b/testutils/src/platform_site.rs
@@ -0,0 +1,463 @@
+//! Gateways and keepers as processes of their own, before stand-ins of the
+//! users' platform and its servers.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use http::HeaderMap;
+use http::Request;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use hyper::body::Bytes;
+use limpetferry_net::gateway_settings::GatewaySettings;
+use limpetferry_net::gateway_settings::KeeperSettings;
+use limpetferry_net::gateway_settings::NodeSettings;
+use limpetferry_net::http::HttpError;
+use limpetferry_net::http::connect;
+use limpetferry_net::settings::DataSettings;
+use limpetferry_net::settings::LogSettings;
+use limpetferry_net::timeout::within;
+use serde_json::Value;
+use serde_json::json;
+use smol::io::AsyncReadExt as _;
+use smol::io::AsyncWriteExt as _;
+use smol::net::TcpStream;
+
+use crate::folder::Folder;
+use crate::listen::any_port;
+use crate::listen::free;
+use crate::listen::listen;
+use crate::platform_server::StandInServer;
+use crate::platform_store::StandInPlatform;
+use crate::process::Process;
+
+/// Key of the system's processes in tests.
+const KEY: &str = "a key for the tests of a site";
+/// Host of all routes.
+pub const HOST: &str = "agents.example";
+/// Longest wait for the site to serve; a test that needs more has failed.
+const START_WAIT: Duration = Duration::from_secs(30);
+/// Time between looks.
+const LOOK: Duration = Duration::from_millis(20);
+/// Longest wait for an answer.
+const ANSWER_WAIT: Duration = Duration::from_secs(15);
+
+/// A site under test.
+pub struct PlatformSite {
+    /// The platform's store.
+    pub store: StandInPlatform,
+    /// The engines.
+    pub engines: Vec<StandInServer>,
+    /// The plain servers.
+    pub plain: Vec<StandInServer>,
+    processes: BTreeMap<String, Process>,
+    gateways: Vec<GatewaySettings>,
+    keepers: Vec<KeeperSettings>,
+    folder: Folder,
+    stop: async_channel::Sender<()>,
+    attempts: std::sync::atomic::AtomicU64,
+}
+
+/// An answer, read whole.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body, as far as it came.
+    pub body: Bytes,
+    /// Whether it came to its end.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+fn route(name: &str, kind: &str, service: &str) -> Value {
+    json!({
+        "Name": name, "Host": HOST, "PathPrefix": format!("/{name}/"), "Type": kind,
+        "TimeoutMs": 3000, "TargetLatencyMs": 250, "Priority": 1, "Service": service,
+        "MaxAttempts": 2, "Retained": false, "Sticky": false, "Resumable": false,
+    })
+}
+
+/// Returns the routing document of the tests, in a version.
+pub fn routing(version: u64) -> Value {
+    let mut kept = route("stream", "streaming", "engine");
+    kept["PathPrefix"] = json!("/stream/kept/");
+    kept["Retained"] = json!(true);
+    kept["RetentionS"] = json!(60.0);
+    kept["MaxAttempts"] = json!(1);
+    let mut resumable = route("resumable", "streaming", "engine");
+    resumable["PathPrefix"] = json!("/stream/resumable/");
+    resumable["Resumable"] = json!(true);
+    resumable["MaxAttempts"] = json!(1);
+    json!({
+        "Version": version,
+        "Routes": [
+            kept, resumable,
+            route("read", "idempotent", "plain"),
+            route("write", "non_idempotent", "plain"),
+        ],
+        "Services": [
+            {"Name": "engine", "MaxConns": 100, "Runtime": {"ChunkTokens": 10}},
+            {"Name": "plain", "MaxConns": 100},
+        ],
+        "Limits": {"MaxHeaderBytes": 16384, "MaxBodyBytes": 100_000,
+                   "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+    })
+}
+
+impl PlatformSite {
+    /// Starts a site, and waits until all gateways serve.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not serve in time.
+    pub async fn start(gateways: usize, keepers: usize, faults: usize) -> Self {
+        let store = StandInPlatform::default();
+        let (at, stop) = listen(any_port(), store.handler()).await;
+        let mut site = Self {
+            store,
+            engines: Vec::new(),
+            plain: Vec::new(),
+            processes: BTreeMap::new(),
+            gateways: Vec::new(),
+            keepers: Vec::new(),
+            folder: Folder::default(),
+            stop,
+            attempts: 0.into(),
+        };
+        site.store.put("op/config", &routing(1));
+        for _ in 0..2 {
+            site.add_engine().await;
+            site.add_plain().await;
+        }
+        site.add_keepers(at, keepers, faults);
+        site.add_gateways(at, gateways, faults);
+        site.wait_ready().await;
+        site
+    }
+
+    fn common(&self, node: &str, store: SocketAddr, faults: usize) -> NodeSettings {
+        NodeSettings {
+            node: node.to_owned(),
+            centre: "here".to_owned(),
+            peers: free(),
+            metrics: free(),
+            key: KEY.to_owned(),
+            store,
+            seeds: self
+                .keepers
+                .iter()
+                .map(|keeper| keeper.common.peers)
+                .collect(),
+            faults,
+            stop_ms: 6_000,
+            log: LogSettings::default(),
+        }
+    }
+
+    fn add_keepers(&mut self, store: SocketAddr, count: usize, faults: usize) {
+        for number in 0..count {
+            let node = format!("keeper-{number}");
+            let folder = self.folder.join(&node);
+            std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
+            self.keepers.push(KeeperSettings {
+                common: self.common(&node, store, faults),
+                data: DataSettings { folder, most: 100 },
+                first: true,
+            });
+        }
+        for number in 0..count {
+            self.start_keeper(number);
+            // Only the first start of all is the first.
+            self.keepers[number].first = false;
+        }
+    }
+
+    fn add_gateways(&mut self, store: SocketAddr, count: usize, faults: usize) {
+        for number in 0..count {
+            let settings = GatewaySettings {
+                common: self.common(&format!("gateway-{number}"), store, faults),
+                callers: free(),
+                ready: free(),
+                connections: 1_000,
+                bodies_mb: 24,
+            };
+            self.gateways.push(settings);
+            self.start_gateway(number);
+        }
+    }
+
+    /// Starts a keeper, anew if it ran before.
+    pub fn start_keeper(&mut self, number: usize) {
+        let settings = &self.keepers[number];
+        let node = settings.common.node.clone();
+        let process = Process::spawn("limpetferry-keeper", &self.folder, &node, settings);
+        self.processes.insert(node, process);
+    }
+
+    /// Starts a gateway, anew if it ran before.
+    pub fn start_gateway(&mut self, number: usize) {
+        let settings = &self.gateways[number];
+        let node = settings.common.node.clone();
+        let process = Process::spawn("limpetferry-gateway", &self.folder, &node, settings);
+        self.processes.insert(node, process);
+    }
+
+    /// Returns a process by its name.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none.
+    pub fn process(&mut self, node: &str) -> &mut Process {
+        self.processes.get_mut(node).expect("a process of the site")
+    }
+
+    /// Empties the disk of a keeper that does not run.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the folder cannot be written.
+    pub fn wipe(&mut self, number: usize) {
+        let folder = &self.keepers[number].data.folder;
+        std::fs::remove_dir_all(folder).expect("the folder is there");
+        std::fs::create_dir_all(folder).expect("the temporary folder can be written");
+    }
+
+    async fn add_engine(&mut self) {
+        let server = StandInServer::default();
+        let number = self.engines.len();
+        self.register(&server, "engine", &format!("engine-{number}"))
+            .await;
+        self.engines.push(server);
+    }
+
+    async fn add_plain(&mut self) {
+        let server = StandInServer::default();
+        let number = self.plain.len();
+        self.register(&server, "plain", &format!("plain-{number}"))
+            .await;
+        self.plain.push(server);
+    }
+
+    async fn register(&self, server: &StandInServer, service: &str, id: &str) {
+        let address = server.start().await;
+        let entry = json!({"Service": service, "Address": address.to_string(), "Zone": "here",
+                           "Slots": 8, "State": "ready", "Seq": 1});
+        self.store.put(&format!("servers/{id}"), &entry);
+    }
+
+    /// Changes the state in a server's entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the server has no entry.
+    pub fn set_state(&self, id: &str, state: &str) {
+        let key = format!("servers/{id}");
+        let mut entry = self.store.get(&key).expect("the server has an entry");
+        entry["State"] = json!(state);
+        self.store.put(&key, &entry);
+    }
+
+    /// Waits until all gateways take callers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that does not come about in time.
+    pub async fn wait_ready(&self) {
+        let ready = async {
+            for number in 0..self.gateways.len() {
+                while !self.is_ready(number).await {
+                    smol::Timer::after(LOOK).await;
+                }
+            }
+        };
+        within(START_WAIT, ready)
+            .await
+            .expect("the site serves in time");
+    }
+
+    /// Returns whether a gateway takes callers.
+    pub async fn is_ready(&self, number: usize) -> bool {
+        let address = self.gateways[number].ready.to_string();
+        let request = Request::get("/api/readyz").header("host", &address);
+        let request = request
+            .body(Full::default())
+            .expect("a constant request is valid");
+        matches!(self.exchange(&address, request).await, Ok(answer) if answer.status == 200)
+    }
+
+    /// Waits until `done` is true of what it is told.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that does not come about in time.
+    pub async fn wait_until(&self, done: impl Fn(&Self) -> bool) {
+        let wait = async {
+            while !done(self) {
+                smol::Timer::after(LOOK).await;
+            }
+        };
+        within(START_WAIT, wait)
+            .await
+            .expect("it comes about in time");
+    }
+
+    /// Returns an attempt id that was not used before.
+    pub fn attempt(&self) -> String {
+        let order = std::sync::atomic::Ordering::Relaxed;
+        format!("{:016x}", self.attempts.fetch_add(1, order) + 1)
+    }
+
+    /// Sends a request with a new attempt id to a gateway.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`HttpError`] if there is no answer.
+    pub async fn send(
+        &self,
+        gateway: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Answer, HttpError> {
+        let attempt = self.attempt();
+        let mut all = vec![("x-attempt-id", attempt.as_str())];
+        all.extend_from_slice(headers);
+        self.send_raw(gateway, method, path, &all, body).await
+    }
+
+    /// Sends a request with these headers only.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`HttpError`] if there is no answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a header is malformed.
+    pub async fn send_raw(
+        &self,
+        gateway: usize,
+        method: &str,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Result<Answer, HttpError> {
+        let mut request = Request::builder()
+            .method(method)
+            .uri(path)
+            .header("host", HOST);
+        for (name, value) in headers {
+            request = request.header(*name, *value);
+        }
+        let body = Full::new(Bytes::from(body.to_owned()));
+        let request = request.body(body).expect("the headers are valid");
+        let address = self.gateways[gateway].callers.to_string();
+        self.exchange(&address, request).await
+    }
+
+    async fn exchange(
+        &self,
+        address: &str,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Answer, HttpError> {
+        let work = async {
+            let mut sender = connect(address).await?;
+            let broken = |error: hyper::Error| HttpError::Broken(error.to_string());
+            let response = sender.send_request(request).await.map_err(broken)?;
+            let (head, mut body) = response.into_parts();
+            let mut bytes = Vec::new();
+            let mut whole = true;
+            while let Some(frame) = body.frame().await {
+                match frame {
+                    Ok(frame) => bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new())),
+                    Err(_) => {
+                        whole = false;
+                        break;
+                    }
+                }
+            }
+            Ok(Answer {
+                status: head.status.as_u16(),
+                headers: head.headers,
+                body: bytes.into(),
+                whole,
+            })
+        };
+        within(ANSWER_WAIT, work)
+            .await
+            .unwrap_or(Err(HttpError::Late))
+    }
+
+    /// Sends bytes to a gateway, and returns what comes back first.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is no connection or nothing comes.
+    pub async fn send_bytes(&self, gateway: usize, bytes: &str) -> String {
+        let stream = TcpStream::connect(self.gateways[gateway].callers).await;
+        let mut stream = stream.expect("the gateway listens");
+        stream.write_all(bytes.as_bytes()).await.expect("it reads");
+        let mut answer = vec![0; 1_024];
+        let read = within(ANSWER_WAIT, stream.read(&mut answer)).await;
+        let size = read.expect("it answers in time").expect("it answers");
+        String::from_utf8_lossy(&answer[..size]).into_owned()
+    }
+
+    /// Waits until a gateway's metric has a value.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that does not come about in time.
+    async fn wait_for(&self, metrics: SocketAddr, name: &str, value: u64) {
+        let address = metrics.to_string();
+        let line = format!("limpetferry_{name} {value}");
+        let wait = async {
+            loop {
+                let request = Request::get("/metrics").header("host", &address);
+                let request = request.body(Full::default()).expect("a valid request");
+                let answer = self.exchange(&address, request).await;
+                if answer.is_ok_and(|answer| answer.text().lines().any(|l| l == line)) {
+                    return;
+                }
+                smol::Timer::after(LOOK).await;
+            }
+        };
+        within(START_WAIT, wait)
+            .await
+            .expect("it comes about in time");
+    }
+
+    /// Waits until a gateway goes by a version of the routing.
+    pub async fn wait_for_routing(&self, gateway: usize, version: u64) {
+        let metrics = self.gateways[gateway].common.metrics;
+        self.wait_for(metrics, "routing_version", version).await;
+    }
+
+    /// Waits until a gateway knows so many servers that take requests.
+    pub async fn wait_for_servers(&self, gateway: usize, count: u64) {
+        let metrics = self.gateways[gateway].common.metrics;
+        self.wait_for(metrics, "servers_ready", count).await;
+    }
+
+    /// Waits until a keeper has all that was ever acknowledged.
+    pub async fn wait_for_whole(&self, keeper: usize) {
+        let metrics = self.keepers[keeper].common.metrics;
+        self.wait_for(metrics, "whole", 1).await;
+    }
+
+    /// Stops the platform's store for good.
+    pub fn stop_store(&self) {
+        self.stop.close();
+    }
+}
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -72,10 +72,13 @@
         let text = serde_json::to_vec_pretty(settings).expect("settings are plain data");
         std::fs::write(&file, text).expect("the temporary folder can be written");
         let log = std::fs::File::create(folder.join(format!("{node}.log")));
+        let output = log.as_ref().ok().and_then(|log| log.try_clone().ok());
+        let output = output.map_or_else(Stdio::null, Stdio::from);
         let child = Command::new(program(name))
             .arg("--settings")
             .arg(&file)
             .stdin(Stdio::null())
+            .stdout(output)
             .stderr(log.map_or_else(|_| Stdio::null(), Stdio::from))
             .spawn()
             .expect("the program starts");
--- a/testutils/src/site.rs
+++ b/testutils/src/site.rs
@@ -3,9 +3,7 @@
 
 use std::cell::Cell;
 use std::collections::BTreeMap;
-use std::net::Ipv4Addr;
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::time::Duration;
 
 use limpetferry_lib::id::DataCentre;
@@ -26,7 +24,9 @@
 
 use crate::client::Caller;
 use crate::engine::StandInEngine;
+use crate::folder::Folder;
 use crate::listen::any_port;
+use crate::listen::free;
 use crate::listen::listen;
 use crate::process::Process;
 use crate::service::StandInService;
@@ -93,48 +93,10 @@
     /// Whether side processes that are added have a data folder.
     data: bool,
     mode: Mode,
-    folder: PathBuf,
+    folder: Folder,
     stops: Vec<async_channel::Sender<()>>,
 }
 
-/// Returns a new folder for the settings of a site's processes.
-fn folder() -> PathBuf {
-    let name = format!(
-        "limpetferry-{}-{:x}",
-        std::process::id(),
-        rand::random::<u64>()
-    );
-    std::env::temp_dir().join(name)
-}
-
-impl Drop for Site {
-    fn drop(&mut self) {
-        if std::thread::panicking() && self.folder.exists() {
-            // The logs say what the processes did.
-            eprintln!(
-                "the site's settings and logs are in {}",
-                self.folder.display()
-            );
-            return;
-        }
-        let _ = std::fs::remove_dir_all(&self.folder);
-    }
-}
-
-/// Returns an address with a port that the system gave. The loopback address
-/// is drawn anew each time, so that no outgoing connection takes the port
-/// before the process that it is for.
-fn free() -> SocketAddr {
-    let ip = Ipv4Addr::new(
-        127,
-        rand::random_range(1..255),
-        rand::random_range(0..255),
-        rand::random_range(1..255),
-    );
-    let listener = std::net::TcpListener::bind((ip, 0)).expect("a port is free");
-    listener.local_addr().expect("a bound listener has one")
-}
-
 impl Site {
     /// Starts the platform only.
     pub async fn platform(rules: Rules, mode: Mode) -> Self {
@@ -156,7 +118,7 @@
             rules,
             data: false,
             mode,
-            folder: folder(),
+            folder: Folder::default(),
             stops: vec![stop_store, stop_vms],
         }
     }
--- a/testutils/src/store.rs
+++ b/testutils/src/store.rs
@@ -2,7 +2,6 @@
 //! v3 protocol, as far as the system uses it.
 
 use std::collections::BTreeMap;
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -18,6 +17,7 @@
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use limpetferry_net::http::Body;
+use limpetferry_net::http::Cut;
 use limpetferry_net::http::Handler;
 use limpetferry_net::http::json as json_answer;
 use serde::Deserialize;
@@ -172,8 +172,10 @@
         }
         state.watchers.push(Watcher { start, end, sender });
         let frames =
-            futures_lite::StreamExt::map(receiver, |bytes| Ok::<_, Infallible>(Frame::data(bytes)));
-        Response::new(http_body_util::BodyExt::boxed(StreamBody::new(frames)))
+            futures_lite::StreamExt::map(receiver, |bytes| Ok::<_, Cut>(Frame::data(bytes)));
+        Response::new(http_body_util::BodyExt::boxed_unsync(StreamBody::new(
+            frames,
+        )))
     }
 }
 
