--- /dev/null
+++ b/net/tests/platform_failures.rs
@@ -0,0 +1,238 @@
+//! What holds on the users' platform while keepers, gateways and the store
+//! fail.
+
+use limpetferry_testutils::platform_server::Behaviour;
+use limpetferry_testutils::platform_server::whole_output;
+use limpetferry_testutils::platform_site::Answer;
+use limpetferry_testutils::platform_site::PlatformSite;
+use limpetferry_testutils::platform_site::routing;
+use limpetferry_testutils::platform_store::PlatformFaults;
+
+async fn site() -> PlatformSite {
+    PlatformSite::start(2, 3, 1).await
+}
+
+/// Sends a turn that continues from `previous`, and returns its id too.
+async fn turn(site: &PlatformSite, gateway: usize, previous: Option<&str>) -> (String, Answer) {
+    let id = site.attempt();
+    let mut headers = vec![
+        ("x-attempt-id", id.as_str()),
+        ("x-program-id", "program"),
+        ("x-session-id", "line"),
+        ("x-token-budget", "100000"),
+        ("x-token-usage", "100,50"),
+        ("x-deadline-ms", "3000"),
+    ];
+    headers.extend(previous.map(|previous| ("x-previous-turn", previous)));
+    let answer = site.send_raw(gateway, "POST", "/stream/kept/a", &headers, "in;").await;
+    (id, answer.expect("an answer"))
+}
+
+/// Sends a turn again, as callers do, until it is served.
+async fn served_turn(site: &PlatformSite, gateway: usize, previous: Option<&str>) -> String {
+    for _ in 0..100 {
+        let (id, answer) = turn(site, gateway, previous).await;
+        if answer.status == 200 && answer.whole {
+            return id;
+        }
+        assert_eq!(answer.status, 503, "{answer:?}");
+    }
+    panic!("no turn was served");
+}
+
+/// Returns the body that an engine got last.
+fn last_body(site: &PlatformSite) -> String {
+    let runs = site.engines.iter().flat_map(|engine| engine.runs());
+    let longest = runs.max_by_key(|run| run.body.len()).expect("a run");
+    String::from_utf8_lossy(&longest.body).into_owned()
+}
+
+fn chain(turns: usize) -> String {
+    let output = whole_output();
+    format!("{}in;", format!("in;{output}").repeat(turns - 1))
+}
+
+#[test]
+fn a_history_outlives_a_wiped_keeper_and_then_another_one() {
+    smol::block_on(async {
+        let mut site = site().await;
+        let first = served_turn(&site, 0, None).await;
+
+        site.process("keeper-0").kill();
+        site.wipe(0);
+        site.start_keeper(0);
+        site.wait_for_whole(0).await;
+        site.process("keeper-1").kill();
+        site.wipe(1);
+        site.start_keeper(1);
+        site.wait_for_whole(1).await;
+        site.process("keeper-2").kill();
+        // The gateway that did not see the first turn.
+        served_turn(&site, 1, Some(&first)).await;
+
+        assert_eq!(last_body(&site), chain(2));
+    });
+}
+
+#[test]
+fn a_history_outlives_all_keepers_and_gateways_at_once() {
+    smol::block_on(async {
+        let mut site = site().await;
+        let first = served_turn(&site, 0, None).await;
+        let second = served_turn(&site, 1, Some(&first)).await;
+
+        for node in ["gateway-0", "gateway-1", "keeper-0", "keeper-1", "keeper-2"] {
+            site.process(node).kill();
+        }
+        (0..3).for_each(|number| site.start_keeper(number));
+        (0..2).for_each(|number| site.start_gateway(number));
+        site.wait_ready().await;
+        served_turn(&site, 0, Some(&second)).await;
+
+        assert_eq!(last_body(&site), chain(3));
+    });
+}
+
+#[test]
+fn one_keeper_out_of_three_is_not_enough_to_deny_a_turn() {
+    smol::block_on(async {
+        let mut site = site().await;
+        let first = served_turn(&site, 0, None).await;
+        for number in [1, 2] {
+            site.process(&format!("keeper-{number}")).kill();
+        }
+
+        let (_, known) = turn(&site, 1, Some(&first)).await;
+        let (_, unknown) = turn(&site, 1, Some("nobody")).await;
+
+        assert_eq!(known.status, 503);
+        assert_eq!(unknown.status, 503);
+        assert!(known.headers.contains_key("retry-after"));
+    });
+}
+
+#[test]
+fn a_wiped_keeper_denies_no_turn_before_it_has_copied() {
+    smol::block_on(async {
+        let mut site = site().await;
+        let first = served_turn(&site, 0, None).await;
+        for number in [0, 1] {
+            site.process(&format!("keeper-{number}")).kill();
+        }
+        site.wipe(0);
+        site.start_keeper(0);
+
+        // The wiped one and one that has the turn: too few to be certain.
+        let (_, unknown) = turn(&site, 1, Some("nobody")).await;
+        site.start_keeper(1);
+        site.wait_for_whole(0).await;
+        served_turn(&site, 1, Some(&first)).await;
+
+        assert_eq!(unknown.status, 503);
+    });
+}
+
+#[test]
+fn everything_goes_on_while_the_store_is_away() {
+    smol::block_on(async {
+        let mut site = site().await;
+        let first = served_turn(&site, 0, None).await;
+        site.store.set_faults(PlatformFaults {
+            refuse: Some(503),
+            ..PlatformFaults::default()
+        });
+
+        let second = served_turn(&site, 1, Some(&first)).await;
+        // What keepers keep on disk is enough to begin with.
+        for node in ["gateway-0", "keeper-0", "keeper-1", "keeper-2"] {
+            site.process(node).kill();
+        }
+        (0..3).for_each(|number| site.start_keeper(number));
+        site.start_gateway(0);
+        site.wait_ready().await;
+        served_turn(&site, 0, Some(&second)).await;
+
+        assert_eq!(last_body(&site), chain(3));
+    });
+}
+
+#[test]
+fn a_routing_that_was_written_unheard_is_found() {
+    smol::block_on(async {
+        let site = site().await;
+        site.store.set_faults(PlatformFaults {
+            mute: true,
+            ..PlatformFaults::default()
+        });
+        site.store.put("op/config", &routing(7));
+        site.store.compact();
+        site.store.set_faults(PlatformFaults::default());
+
+        for gateway in 0..2 {
+            site.wait_for_routing(gateway, 7).await;
+        }
+    });
+}
+
+#[test]
+fn a_keeper_that_is_to_be_emptied_says_when_it_is() {
+    smol::block_on(async {
+        let mut site = PlatformSite::start(1, 4, 1).await;
+        let first = served_turn(&site, 0, None).await;
+
+        let request = serde_json::json!({"DurationS": 10});
+        site.store.put("op/retire/keeper-3", &request);
+        site.wait_until(|site| {
+            let status = site.store.get("status/retire/keeper-3");
+            status.is_some_and(|status| status["State"] == "complete")
+        })
+        .await;
+        site.process("keeper-3").kill();
+        served_turn(&site, 0, Some(&first)).await;
+
+        assert_eq!(last_body(&site), chain(2));
+        let list = site.store.get("limpetferry/keepers").expect("a list");
+        assert_eq!(list["keepers"].as_array().map(Vec::len), Some(3));
+    });
+}
+
+#[test]
+fn a_planned_stop_ends_what_was_begun_and_says_that_it_is_not_ready() {
+    smol::block_on(async {
+        let mut site = site().await;
+        for engine in &site.engines {
+            engine.behave([Behaviour::Slowly]);
+        }
+        let mut gateway = site.take_process("gateway-0");
+
+        let begun = |site: &PlatformSite| site.engines.iter().any(|e| !e.runs().is_empty());
+        let stopping = async {
+            site.wait_until(begun).await;
+            gateway.ask_stop().await;
+        };
+        let (turn, ()) = futures_lite::future::zip(turn(&site, 0, None), stopping).await;
+        let ready = site.wait_not_ready(0).await;
+        let ended = gateway.ended().await;
+
+        assert_eq!((turn.1.status, turn.1.whole), (200, true));
+        assert!(!ready);
+        assert!(ended, "it ends with exit code 0");
+    });
+}
+
+#[test]
+fn a_hangup_reads_settings_anew_and_faulty_ones_change_nothing() {
+    smol::block_on(async {
+        let mut site = site().await;
+        for node in ["gateway-0", "keeper-0"] {
+            site.break_settings(node);
+            site.process(node).hang_up();
+            site.wait_for_log(node, "event=reload_refused").await;
+        }
+
+        let first = served_turn(&site, 0, None).await;
+
+        assert!(!first.is_empty());
+        assert!(!site.process("keeper-0").has_ended());
+    });
+}
--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -30,11 +30,16 @@
 /// Time between events.
 const EVENT_PAUSE: Duration = Duration::from_millis(2);
 
+/// Time between events of a slow stream.
+const SLOW_PAUSE: Duration = Duration::from_millis(150);
+
 /// What the server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Behaviour {
     /// It answers.
     Answer,
+    /// It answers with a pause between events that a test can act in.
+    Slowly,
     /// It answers, and cuts a stream off after so many events.
     CutAfter(u64),
     /// It runs the request, and closes the connection instead of answering.
@@ -203,6 +208,10 @@
         Behaviour::CutAfter(events) => last + events,
         _ => EVENTS,
     };
+    let pause = match behaviour {
+        Behaviour::Slowly => SLOW_PAUSE,
+        _ => EVENT_PAUSE,
+    };
     let frames = unfold(last, move |number| async move {
         if number == EVENTS {
             return None;
@@ -210,7 +219,7 @@
         if number >= cut {
             return Some((Err(Cut), EVENTS));
         }
-        smol::Timer::after(EVENT_PAUSE).await;
+        smol::Timer::after(pause).await;
         let number = number + 1;
         let event = format!("id: {number}\ndata: word {number}\n\n");
         Some((Ok(Frame::data(Bytes::from(event))), number))
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -55,7 +55,8 @@
     gateways: Vec<GatewaySettings>,
     keepers: Vec<KeeperSettings>,
     folder: Folder,
-    stop: async_channel::Sender<()>,
+    /// Keeps the store's listener open.
+    _store_open: async_channel::Sender<()>,
     attempts: std::sync::atomic::AtomicU64,
 }
 
@@ -131,7 +132,7 @@
             gateways: Vec::new(),
             keepers: Vec::new(),
             folder: Folder::default(),
-            stop,
+            _store_open: stop,
             attempts: 0.into(),
         };
         site.store.put("op/config", &routing(1));
@@ -221,6 +222,15 @@
         self.processes.get_mut(node).expect("a process of the site")
     }
 
+    /// Hands a process over to the test.
+    ///
+    /// # Panics
+    ///
+    /// Panics if there is none.
+    pub fn take_process(&mut self, node: &str) -> Process {
+        self.processes.remove(node).expect("a process of the site")
+    }
+
     /// Empties the disk of a keeper that does not run.
     ///
     /// # Panics
@@ -285,6 +295,45 @@
             .expect("the site serves in time");
     }
 
+    /// Waits until a gateway takes no callers; returns whether it does.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that does not come about in time.
+    pub async fn wait_not_ready(&self, number: usize) -> bool {
+        let wait = async {
+            while self.is_ready(number).await {
+                smol::Timer::after(LOOK).await;
+            }
+        };
+        within(START_WAIT, wait).await.expect("it stops taking callers in time");
+        self.is_ready(number).await
+    }
+
+    /// Puts faulty settings in the place of those of a process.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the folder cannot be written.
+    pub fn break_settings(&self, node: &str) {
+        let file = self.folder.join(format!("{node}.json"));
+        std::fs::write(file, "{}").expect("the temporary folder can be written");
+    }
+
+    /// Waits until a process has logged a line with `text`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if that does not come about in time.
+    pub async fn wait_for_log(&self, node: &str, text: &str) {
+        let file = self.folder.join(format!("{node}.log"));
+        self.wait_until(|_| {
+            let log = std::fs::read_to_string(&file);
+            log.is_ok_and(|log| log.contains(text))
+        })
+        .await;
+    }
+
     /// Returns whether a gateway takes callers.
     pub async fn is_ready(&self, number: usize) -> bool {
         let address = self.gateways[number].ready.to_string();
@@ -455,9 +504,4 @@
         let metrics = self.keepers[keeper].common.metrics;
         self.wait_for(metrics, "whole", 1).await;
     }
-
-    /// Stops the platform's store for good.
-    pub fn stop_store(&self) {
-        self.stop.close();
-    }
 }
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -171,6 +171,15 @@
         signal(self.child(), "CONT");
     }
 
+    /// Tells a process of its own to read its settings anew.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is a task.
+    pub fn hang_up(&mut self) {
+        signal(self.child(), "HUP");
+    }
+
     /// Returns the number of the process in the system.
     ///
     /// # Panics
