http: a stopping listener returns once all that was under way has ended

Change: the listener counts its connections and returns when the last one has ended; the gateway waits for that.

--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -43,6 +43,7 @@
 use crate::reload::Live;
 use crate::replicas::Replicas;
 use crate::site::Site;
+use crate::timeout::within;
 use crate::turns::Turns;
 
 /// Time between looks for connections that were idle for too long, and for
@@ -55,8 +56,6 @@
 const LINGER: Duration = Duration::from_millis(2_600);
 /// Time kept back from a planned stop for the last answers' way.
 const STOP_SPARE: Duration = Duration::from_millis(500);
-/// Time between looks whether all requests have ended.
-const STOP_LOOK: Duration = Duration::from_millis(20);
 
 /// One gateway.
 pub struct Gateway {
@@ -329,21 +328,15 @@
     smol::Timer::after(LINGER).await;
     close.close();
     let limit = Duration::from_millis(live.get().common.stop_ms).saturating_sub(STOP_SPARE);
-    while Arc::strong_count(&gateway) > gateway_holders() && clock.now().since(begun) < limit {
-        smol::Timer::after(STOP_LOOK).await;
-    }
-    drop(serving);
-    gateway.note(Note::new("stopped").with("millis", clock.now().since(begun).as_millis()));
+    let left = limit.saturating_sub(clock.now().since(begun));
+    let ended = within(left, serving).await.is_some();
+    gateway.note(Note::new("stopped")
+            .with("all_ended", ended)
+            .with("millis", clock.now().since(begun).as_millis()));
     log::flush();
     Ok(())
 }
 
-/// Returns how many parts of an idle gateway hold it: this function's caller,
-/// the looks for old connections, and the three handlers.
-fn gateway_holders() -> usize {
-    5
-}
-
 async fn listen(address: std::net::SocketAddr, what: &str) -> eyre::Result<TcpListener> {
     TcpListener::bind(address)
         .await
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -46,6 +46,8 @@
 const CONNECT_WAIT: Duration = Duration::from_millis(350);
 /// Wait for the headers of a request.
 const HEADER_WAIT: Duration = Duration::from_secs(10);
+/// Time between looks whether all connections have ended.
+const END_LOOK: Duration = Duration::from_millis(20);
 /// Headers of one request.
 const MAX_HEADERS: usize = 64;
 /// Idle connections kept for each server.
@@ -82,7 +84,8 @@
     };
 }
 
-/// Serves `listener` until `stop` says so, then lets what is under way end.
+/// Serves `listener` until `stop` says so, then takes nothing new and returns
+/// once all that was under way has ended.
 pub async fn serve(
     listener: TcpListener,
     bounds: Bounds,
@@ -97,6 +100,10 @@
         });
         let Some((stream, _)) = accepted.await else {
             if stop.is_closed() {
+                drop(listener);
+                while open.load(Ordering::Relaxed) > 0 {
+                    smol::Timer::after(END_LOOK).await;
+                }
                 return;
             }
             // Out of file descriptors, most likely; try again shortly.
--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -31,7 +31,7 @@
 const EVENT_PAUSE: Duration = Duration::from_millis(2);
 
 /// Time between events of a slow stream.
-const SLOW_PAUSE: Duration = Duration::from_millis(150);
+const SLOW_PAUSE: Duration = Duration::from_millis(550);
 
 /// What the server does with a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
