sockets: read only after the system said that bytes are there

Cause: on grown sites gateways of 0.09 of a core are overloaded (21,194 requests took more than half of their aim to reach a server). Of 40 reads for a turn with two lookups, 30 found nothing: each poll of a connection tried one.

--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -26,6 +26,7 @@
 use smol_hyper::rt::SmolTimer;
 use thiserror::Error;
 
+use crate::sockets::Stream;
 use crate::timeout::within;
 
 /// Says that an answer ends before it is whole, so that its caller sees it
@@ -141,7 +142,7 @@
         .max_headers(MAX_HEADERS)
         .max_buf_size(bounds.head.max(8192))
         .half_close(false)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(Stream::new(stream)), service);
     let mut connection = std::pin::pin!(connection);
     let stopped = async {
         let _ = stop.recv().await;
@@ -200,7 +201,7 @@
         .ok_or_else(refuse)?
         .map_err(|_| refuse())?;
     crate::sockets::watch_silence(&stream).map_err(|_| refuse())?;
-    let (sender, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
+    let (sender, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(Stream::new(stream)))
         .await
         .map_err(|_| refuse())?;
     smol::spawn(async move {
--- a/net/src/peer.rs
+++ b/net/src/peer.rs
@@ -29,6 +29,7 @@
 use thiserror::Error;
 use tokio_util::compat::FuturesAsyncReadCompatExt as _;
 
+use crate::sockets::Stream;
 use crate::timeout::within;
 
 /// Largest frame.
@@ -135,7 +136,7 @@
     let (mut client, mut connection) = h2::client::Builder::new()
         .initial_window_size(WINDOW)
         .initial_connection_window_size(WINDOW)
-        .handshake::<_, Bytes>(stream.compat())
+        .handshake::<_, Bytes>(Stream::new(stream).compat())
         .await?;
     let ping = connection.ping_pong().ok_or(LinkError::Closed)?;
     let driver = smol::spawn(async move {
@@ -175,7 +176,7 @@
         .initial_window_size(WINDOW)
         .initial_connection_window_size(WINDOW)
         .max_concurrent_streams(1)
-        .handshake::<_, Bytes>(stream.compat())
+        .handshake::<_, Bytes>(Stream::new(stream).compat())
         .await?;
     let ping = connection.ping_pong().ok_or(LinkError::Closed)?;
     let (request, mut respond) = connection.accept().await.ok_or(LinkError::Closed)??;
--- a/net/src/sockets.rs
+++ b/net/src/sockets.rs
@@ -1,8 +1,19 @@
-//! Options of sockets that find a silent peer.
+//! Sockets: options that find a silent peer, and streams that do not ask the
+//! system for bytes that are not there.
 
 use std::io;
+use std::io::Read as _;
+use std::io::Write as _;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
+use futures_lite::AsyncRead;
+use futures_lite::AsyncWrite;
+use smol::Async;
 use smol::net::TcpStream;
 use socket2::SockRef;
 use socket2::TcpKeepalive;
@@ -30,3 +41,91 @@
     socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))
 }
+
+/// A connection whose reads wait for the system's word that bytes are there.
+///
+/// Connections of HTTP are polled whenever anything happens around them, and a
+/// plain stream asks the system each time: three of four reads found nothing.
+/// This one asks again only after it was told; a turn with two lookups costs a
+/// gateway a third fewer system calls.
+pub struct Stream {
+    io: Arc<Async<std::net::TcpStream>>,
+    /// The last read took all that was there.
+    dry: bool,
+}
+
+impl Stream {
+    /// Makes a stream of a connection.
+    pub fn new(stream: TcpStream) -> Self {
+        Self {
+            io: stream.into(),
+            dry: true,
+        }
+    }
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            if self.dry {
+                ready!(self.io.poll_readable(cx))?;
+                self.dry = false;
+            }
+            match self.io.get_ref().read(buffer) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.dry = true,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Ok(size) => {
+                    self.dry = size > 0 && size < buffer.len();
+                    return Poll::Ready(Ok(size));
+                }
+                Err(error) => return Poll::Ready(Err(error)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            match self.io.get_ref().write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    ready!(self.io.poll_writable(cx))?;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            match self.io.get_ref().write_vectored(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    ready!(self.io.poll_writable(cx))?;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                result => return Poll::Ready(result),
+            }
+        }
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_close(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.io.get_ref().shutdown(std::net::Shutdown::Write))
+    }
+}
