gateway: refuse first turns while timers or keepers' answers are late

Programs in hand and new ones suffered alike, and none ended in time. Ruled out: timers alone (they stay on time); saying 'not ready' (tried before). Change: the share of first turns refused grows with the lateness of timers and of the keepers' answers, from 50 to 150 ms; a program that was begun goes on; refused callers come back to another gateway after 50 ms.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod routing;
 pub mod rules;
 pub mod shard;
+pub mod shed;
 pub mod side;
 pub mod speed;
 pub mod sse;
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -16,6 +16,7 @@
 use limpetferry_lib::fleet::ServerKey;
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::NodeId;
+use limpetferry_lib::shed::Shed;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::turnaway::Turnaway;
 use prometheus::core::Collector as _;
@@ -49,6 +50,8 @@
 /// Time between looks for connections that were idle for too long, and for
 /// the keepers within reach.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
+/// Time between timers whose lateness is measured.
+const LATENESS_EVERY: Duration = Duration::from_millis(50);
 /// Such looks between two summaries.
 const SUMMARY_ROUNDS: u32 = 40;
 /// How long a stopping process goes on taking connections: the platform asks
@@ -79,6 +82,7 @@
     stopping: AtomicBool,
     in_touch: AtomicBool,
     turnaway: Mutex<Turnaway>,
+    shed: Mutex<Shed>,
 }
 
 impl Gateway {
@@ -117,6 +121,42 @@
         self.turnaway().after(now, &program.id, &program.line)
     }
 
+    /// Takes a turn of a program, or returns when its caller is to come back.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller is to come back.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn admit(&self, program: &Program, first: bool) -> Result<(), Duration> {
+        let mut shed = self.shed.lock().expect("no panic while locked");
+        shed.admit(&program.id, first, rand::random())
+    }
+
+    /// Notes how long the keepers of a turn took to answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn observe_answer(&self, took: Duration) {
+        let mut shed = self.shed.lock().expect("no panic while locked");
+        shed.observe_answer(took);
+    }
+
+    /// Measures how late timers fire, for as long as the process runs.
+    async fn measure_lateness(self: Arc<Self>) {
+        loop {
+            let due = self.clock.now() + LATENESS_EVERY;
+            smol::Timer::after(LATENESS_EVERY).await;
+            let late = self.clock.now().since(due);
+            let mut shed = self.shed.lock().expect("no panic while locked");
+            shed.observe(late);
+            self.meters.lag.set(shed.lateness().as_millis() as i64);
+        }
+    }
+
     /// Looks again whether it has what it needs to serve.
     fn look(&self) {
         let known = {
@@ -285,6 +325,7 @@
         stopping: AtomicBool::new(false),
         in_touch: AtomicBool::new(false),
         turnaway: Mutex::default(),
+        shed: Mutex::default(),
     });
     let note = Note::new("started").with("role", "gateway");
     gateway.note(note.with("callers", settings.callers));
@@ -294,6 +335,7 @@
     smol::spawn(site.clone().follow(PlatformStore::new(common.store))).detach();
     smol::spawn(site.clone().expire()).detach();
     smol::spawn(gateway.clone().expire()).detach();
+    smol::spawn(gateway.clone().measure_lateness()).detach();
     let metrics = listen(common.metrics, "common.metrics").await?;
     let shown = gateway.clone();
     let shown = metrics::handler(&gateway.meters.registry, move || shown.is_ready());
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -78,7 +78,7 @@
     pub servers: IntGauge,
     /// Whether the process takes callers.
     pub ready: IntGauge,
-    /// Milliseconds by which the last timer was late.
+    /// Milliseconds by which timers are late.
     pub lag: IntGauge,
 }
 
@@ -103,7 +103,7 @@
             routing: make.gauge("routing_version", "Version of the routing in force")?,
             servers: make.gauge("servers_ready", "Servers that take requests")?,
             ready: make.gauge("ready", "Whether the process takes callers")?,
-            lag: make.gauge("timer_lag_ms", "Lateness of the last timer")?,
+            lag: make.gauge("timer_lag_ms", "Lateness of timers")?,
             registry: make.registry,
         })
     }
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -263,6 +263,15 @@
             "no route has this host and path; see the routing document",
         ));
     };
+    if let (Kind::Stream { .. }, Some(program)) = (route.kind, &call.program) {
+        let first = call.previous.is_none();
+        gateway.admit(program, first).map_err(|after| {
+            Refusal::later(
+                after,
+                "more programs than this gateway can serve in time; come back",
+            )
+        })?;
+    }
     let limit = start
         + call
             .patience
@@ -377,7 +386,9 @@
             most: self.call.most_tokens,
         };
         let turns = &self.gateway.turns;
+        let asked = self.now();
         let open = turns.open(begin, program.budget, self.limit).await;
+        self.gateway.observe_answer(self.now().since(asked));
         let open = open.map_err(|refusal| match refusal {
             TurnRefusal::Spent => Refusal::new(
                 StatusCode::PAYMENT_REQUIRED,
