--- a/entry/tests/check.rs
+++ b/entry/tests/check.rs
@@ -1,48 +1,31 @@
 //! The program checks its settings before it does anything.
 
-use std::path::Path;
-use std::process::Command;
-use std::process::Output;
-
+use limpetferry_testutils::check::check;
+use limpetferry_testutils::check::example;
 use serde_json::Value;
 use serde_json::json;
 
-fn example() -> Value {
-    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../examples/hand/entry-1.json");
-    let text = std::fs::read_to_string(root).expect("the example is there");
-    serde_json::from_str(&text).expect("the example is JSON")
-}
+const PROGRAM: &str = env!("CARGO_BIN_EXE_limpetferry-entry");
 
-fn check(name: &str, settings: &Value) -> Output {
-    let file = std::env::temp_dir().join(format!(
-        "limpetferry-entry-{}-{name}.json",
-        std::process::id()
-    ));
-    std::fs::write(&file, settings.to_string()).expect("the folder can be written");
-    let output = Command::new(env!("CARGO_BIN_EXE_limpetferry-entry"))
-        .arg("--check")
-        .arg("--settings")
-        .arg(&file)
-        .output();
-    let _ = std::fs::remove_file(&file);
-    output.expect("the program starts")
+fn settings() -> Value {
+    example("hand/entry-1.json")
 }
 
 #[test]
 fn the_example_has_no_faults() {
-    let output = check("good", &example());
+    let output = check(PROGRAM, &settings());
 
     assert!(output.status.success(), "{output:?}");
 }
 
 #[test]
 fn every_fault_is_listed_with_its_remedy() {
-    let mut settings = example();
+    let mut settings = settings();
     settings["common"]["key"] = json!("short");
     settings["common"]["node"] = json!("two words");
     settings["common"]["rules"] = json!({"takeover_ms": 5});
 
-    let output = check("faulty", &settings);
+    let output = check(PROGRAM, &settings);
 
     let text = String::from_utf8_lossy(&output.stderr).into_owned();
     assert_eq!(output.status.code(), Some(1));
@@ -57,10 +40,10 @@
 
 #[test]
 fn unknown_fields_are_refused() {
-    let mut settings = example();
+    let mut settings = settings();
     settings["colour"] = json!("blue");
 
-    let output = check("unknown", &settings);
+    let output = check(PROGRAM, &settings);
 
     assert_eq!(output.status.code(), Some(1));
     assert!(String::from_utf8_lossy(&output.stderr).contains("colour"));
--- a/lib/src/shed.rs
+++ b/lib/src/load_shed.rs
@@ -33,14 +33,14 @@
 
 /// The programs that a gateway has begun, and how late its timers are.
 #[derive(Clone, Debug, Default)]
-pub struct Shed {
+pub struct LoadShed {
     late: f64,
     answers: f64,
     young: HashSet<Arc<str>>,
     old: HashSet<Arc<str>>,
 }
 
-impl Shed {
+impl LoadShed {
     /// Takes the lateness of a timer.
     pub fn observe(&mut self, late: Duration) {
         self.late += (late.as_secs_f64() - self.late) * NEWEST;
--- a/lib/src/turnaway.rs
+++ b/lib/src/retry_hint.rs
@@ -28,12 +28,12 @@
 
 /// Lines of turns that were sent on.
 #[derive(Clone, Debug, Default)]
-pub struct Turnaway {
+pub struct RetryHints {
     since: Option<Time>,
     lines: HashMap<(Arc<str>, Arc<str>), Time>,
 }
 
-impl Turnaway {
+impl RetryHints {
     /// Notes whether the gateway takes callers now.
     pub fn set_ready(&mut self, now: Time, ready: bool) {
         if ready {
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -20,7 +20,11 @@
         id: format!("server-{number}").into(),
         service: Arc::from("engine"),
         address: ([10, 0, 0, 1], 8_000 + number).into(),
-        centre: Arc::from(if number % 2 == 0 { "here" } else { "there" }),
+        centre: Arc::from(if number.is_multiple_of(2) {
+            "here"
+        } else {
+            "there"
+        }),
         slots: 16,
         state: ServerState::Ready,
     }
--- a/lib/tests/shed.rs
+++ b/lib/tests/load_shed.rs
@@ -7,7 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use limpetferry_lib::shed::Shed;
+use limpetferry_lib::load_shed::LoadShed;
 
 /// Turns of a program.
 const TURNS: u32 = 7;
@@ -32,7 +32,7 @@
 
 /// Plays the burst, and returns how many programs were refused, in time and
 /// late.
-fn play(mut shed: Option<Shed>) -> (u32, u32, u32) {
+fn play(mut shed: Option<LoadShed>) -> (u32, u32, u32) {
     let mut waiting: VecDeque<Turn> = VecDeque::new();
     let mut coming: Vec<Turn> = Vec::new();
     let mut next_timer = 0;
@@ -94,7 +94,7 @@
 #[test]
 fn a_gateway_that_refuses_first_turns_ends_more_programs_in_time() {
     let (_, good_without, late_without) = play(None);
-    let (refused, good, late) = play(Some(Shed::default()));
+    let (refused, good, late) = play(Some(LoadShed::default()));
 
     println!("without: {good_without} in time, {late_without} late");
     println!("with: {good} in time, {late} late, {refused} refused");
@@ -107,7 +107,7 @@
 
 #[test]
 fn a_gateway_with_time_to_spare_refuses_nobody() {
-    let mut shed = Shed::default();
+    let mut shed = LoadShed::default();
     (0..100).for_each(|_| shed.observe(Duration::from_millis(20)));
 
     let admitted = shed.admit(&Arc::from("new"), true, 0.0);
@@ -117,7 +117,7 @@
 
 #[test]
 fn keepers_that_answer_late_count_until_they_answer_in_time() {
-    let mut shed = Shed::default();
+    let mut shed = LoadShed::default();
     let new: Arc<str> = Arc::from("new");
     (0..20).for_each(|_| shed.observe_answer(Duration::from_millis(300)));
     let choked = shed.admit(&new, true, 0.5);
@@ -131,7 +131,7 @@
 
 #[test]
 fn a_program_that_was_begun_goes_on() {
-    let mut shed = Shed::default();
+    let mut shed = LoadShed::default();
     let program: Arc<str> = Arc::from("begun");
     assert!(shed.admit(&program, true, 0.0).is_ok());
     (0..100).for_each(|_| shed.observe(Duration::from_secs(1)));
--- a/lib/tests/turn_world/mod.rs
+++ b/lib/tests/turn_world/mod.rs
@@ -284,7 +284,11 @@
             program: format!("program-{}", id / PROGRAM_TURNS).into(),
             previous: None,
             input: Bytes::new(),
-            most: if most % 4 == 0 { EVENT } else { 3 * EVENT },
+            most: if most.is_multiple_of(4) {
+                EVENT
+            } else {
+                3 * EVENT
+            },
         };
         let membership = self.known[entry].clone();
         let replicas = membership.replicas(&begin.program, self.faults);
--- /dev/null
+++ b/net/src/attempt.rs
@@ -0,0 +1,402 @@
+//! A request at one server after the other.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::Request;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use limpetferry_lib::fleet::Outcome;
+use limpetferry_lib::fleet::ServerKey;
+use limpetferry_lib::fleet::Wish;
+use limpetferry_lib::routing::Kind;
+use limpetferry_platform::header;
+use limpetferry_platform::header::Answer;
+use limpetferry_platform::header::Dispatch;
+
+use crate::gateway::Gateway;
+use crate::http::Sender;
+use crate::refusal::RETRY_UNKNOWN;
+use crate::refusal::Refusal;
+use crate::refusal::late;
+use crate::relay::Job;
+use crate::timeout::within;
+
+/// Tries at servers that refuse for lack of room before the caller is told to
+/// come back.
+const MAX_REFUSALS: usize = 3;
+/// When to come back after servers were full: some of the requests there have
+/// ended by then.
+pub const RETRY_FULL: Duration = Duration::from_millis(120);
+/// Pause before a server that is full is asked again to go on with a stream.
+const SAME_PAUSE: Duration = Duration::from_millis(40);
+/// Time left below which a request is not sent any more.
+const LEAST_LEFT: Duration = Duration::from_millis(5);
+
+/// A request at a server.
+pub struct Lease {
+    gateway: Arc<Gateway>,
+    /// The server.
+    pub key: ServerKey,
+    /// Id of the server.
+    pub server: Arc<str>,
+    sender: Option<Sender>,
+    keep: Option<Duration>,
+    over: bool,
+}
+
+impl Lease {
+    /// Ends the request; the connection is kept if it may be used again.
+    pub fn end(mut self, outcome: Outcome, reuse: bool) {
+        self.close(outcome);
+        if let Some(sender) = self.sender.take().filter(|_| reuse) {
+            let now = self.gateway.clock.now();
+            self.gateway.pool.put(now, &self.server, sender, self.keep);
+        }
+    }
+
+    fn close(&mut self, outcome: Outcome) {
+        if !std::mem::replace(&mut self.over, true) {
+            let now = self.gateway.clock.now();
+            let mut known = self.gateway.site.known();
+            known.fleet.end(now, self.key, outcome);
+        }
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.close(Outcome::Abandoned);
+    }
+}
+
+/// Why an attempt at one server gave no answer.
+#[derive(Clone, Debug)]
+pub enum Failure {
+    /// No byte of it was sent.
+    NotSent(String),
+    /// The server says that it did not run it.
+    NotRun(&'static str),
+    /// It may have run.
+    Unknown(String),
+    /// The caller's time is over, and it may have run.
+    Late,
+}
+
+impl Failure {
+    /// Returns its name in metrics.
+    pub fn label(&self) -> &'static str {
+        match self {
+            Self::NotSent(_) => "not_sent",
+            Self::NotRun(_) => "not_run",
+            Self::Unknown(_) => "unknown",
+            Self::Late => "late",
+        }
+    }
+}
+
+/// The head of a server's answer, with its body still to be read.
+pub struct Started {
+    /// Status and headers.
+    pub head: http::response::Parts,
+    /// What the headers say.
+    pub answer: Answer,
+    /// The body.
+    pub body: Incoming,
+    /// The request at the server.
+    pub lease: Lease,
+}
+
+impl Job {
+    fn wish<'a>(&'a self, tried: &'a [ServerKey]) -> Wish<'a> {
+        Wish {
+            parts: &self.call.parts,
+            object: self.call.object.as_deref(),
+            tried,
+            centre: &self.gateway.centre,
+            draw: rand::random(),
+        }
+    }
+
+    fn pick(&self, tried: &[ServerKey]) -> Option<Lease> {
+        let wish = self.wish(tried);
+        let key = {
+            let known = self.gateway.site.known();
+            known.fleet.pick(self.now(), &self.service, &wish)?
+        };
+        self.lease(key)
+    }
+
+    /// Notes that the request goes to a server; `None` if it takes none.
+    fn lease(&self, key: ServerKey) -> Option<Lease> {
+        let mut known = self.gateway.site.known();
+        if !known.fleet.takes(key) {
+            return None;
+        }
+        let server = known.fleet.server(key)?.id.clone();
+        known.fleet.begin(key, &self.wish(&[]));
+        Some(Lease {
+            gateway: self.gateway.clone(),
+            key,
+            server,
+            sender: None,
+            keep: None,
+            over: false,
+        })
+    }
+
+    /// Sends the request to a server that answers, and returns the head of the
+    /// answer. `runs` counts the servers that may have run it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal that the caller gets.
+    pub async fn start(
+        &self,
+        tried: &mut Vec<ServerKey>,
+        runs: &mut u32,
+        last_event: Option<u64>,
+    ) -> Result<Started, Refusal> {
+        let mut refusals = 0;
+        loop {
+            if self.left() < LEAST_LEFT {
+                return Err(late(*runs));
+            }
+            let Some(lease) = self.pick(tried) else {
+                return Err(if *runs > 0 {
+                    Refusal::new(
+                        StatusCode::BAD_GATEWAY,
+                        "the server broke off, and no other one is there",
+                    )
+                } else if refusals > 0 {
+                    Refusal::later(RETRY_FULL, "all servers are full; come back")
+                } else {
+                    Refusal::later(
+                        RETRY_UNKNOWN,
+                        "no server of the service is there; come back",
+                    )
+                });
+            };
+            let key = lease.key;
+            let failure = match self.send(lease, last_event).await {
+                Ok(started) => return Ok(started),
+                Err(failure) => failure,
+            };
+            tried.push(key);
+            self.gateway
+                .attempt_failed(&self.call.attempt, key, &failure);
+            match failure {
+                Failure::NotSent(_) | Failure::NotRun(_) => {
+                    refusals += 1;
+                    if refusals >= MAX_REFUSALS && *runs == 0 {
+                        return Err(Refusal::later(RETRY_FULL, "servers are full; come back"));
+                    }
+                }
+                Failure::Late => return Err(late(1)),
+                Failure::Unknown(_) => {
+                    *runs += 1;
+                    if !self.may_repeat(*runs) {
+                        return Err(Refusal::new(
+                            StatusCode::BAD_GATEWAY,
+                            "the server broke off; whether the request ran is unknown",
+                        ));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends a stream that broke off to the same server, for what comes after
+    /// `last_event`. The route's attempts count servers, and a server that
+    /// lives still has the prompt in its memory.
+    ///
+    /// # Errors
+    ///
+    /// Returns `None` if the server is gone or takes nothing, and the stream
+    /// may go on at another one.
+    pub async fn start_again(&self, key: ServerKey, last_event: Option<u64>) -> Option<Started> {
+        let mut tries = 0;
+        while self.left() > LEAST_LEFT {
+            let lease = self.lease(key)?;
+            match self.send(lease, last_event).await {
+                Ok(started) => return Some(started),
+                Err(failure) => {
+                    self.gateway
+                        .attempt_failed(&self.call.attempt, key, &failure);
+                    tries += 1;
+                    let full = matches!(failure, Failure::NotRun(_));
+                    if !full || tries > MAX_REFUSALS {
+                        return None;
+                    }
+                    smol::Timer::after(SAME_PAUSE).await;
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns whether a request that may have run `runs` times may run again.
+    pub fn may_repeat(&self, runs: u32) -> bool {
+        match self.route.kind {
+            Kind::Idempotent => runs < self.route.attempts,
+            Kind::Once => false,
+            Kind::Stream { resumable } => resumable && runs <= self.route.attempts,
+        }
+    }
+
+    async fn send(&self, mut lease: Lease, last_event: Option<u64>) -> Result<Started, Failure> {
+        let server = {
+            let known = self.gateway.site.known();
+            known.fleet.server(lease.key).map(|server| server.address)
+        };
+        let Some(address) = server else {
+            return Err(Failure::NotSent("the server is gone".to_owned()));
+        };
+        let once = self.route.kind != Kind::Idempotent;
+        let meters = &self.gateway.meters;
+        let taken = self.gateway.pool.take(self.now(), &lease.server, once);
+        let source = taken
+            .as_ref()
+            .map_or_else(|absence| absence.label(), |_| "kept");
+        meters.connections.with_label_values(&[source]).inc();
+        let mut kept = taken.ok();
+        loop {
+            let idle = kept.as_ref().map(|kept| kept.idle);
+            let sender = match kept.take() {
+                Some(kept) => kept.sender,
+                None => match self.gateway.pool.connect(address).await {
+                    Ok(sender) => sender,
+                    Err(error) => {
+                        lease.end(Outcome::Broken, false);
+                        return Err(Failure::NotSent(error.to_string()));
+                    }
+                },
+            };
+            match self.send_on(sender, &mut lease, last_event).await {
+                Ok(started) => return self.check(started, lease),
+                // The kept connection was closed before a byte went out.
+                Err(Failure::NotSent(_)) if idle.is_some() => {
+                    let label = "new_closed_at_use";
+                    meters.connections.with_label_values(&[label]).inc();
+                }
+                Err(failure) => {
+                    if let (Some(idle), Failure::Unknown(_)) = (idle, &failure) {
+                        self.gateway.pool.note_dropped(self.now(), idle);
+                    }
+                    let broken = !matches!(failure, Failure::Late);
+                    lease.end(
+                        if broken {
+                            Outcome::Broken
+                        } else {
+                            Outcome::Abandoned
+                        },
+                        false,
+                    );
+                    return Err(failure);
+                }
+            }
+        }
+    }
+
+    async fn send_on(
+        &self,
+        mut sender: Sender,
+        lease: &mut Lease,
+        last_event: Option<u64>,
+    ) -> Result<Response<Incoming>, Failure> {
+        let dispatch = Dispatch {
+            server: &lease.server,
+            left: Some(self.left()),
+            urgency: self.urgency(),
+            last_event: last_event.or(self.call.last_event),
+        };
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = header::encode_dispatch(&self.headers, &dispatch);
+        if sender.ready().await.is_err() {
+            return Err(Failure::NotSent(
+                "the kept connection was closed".to_owned(),
+            ));
+        }
+        let sent = within(self.left(), sender.try_send_request(request)).await;
+        match sent {
+            None => Err(Failure::Late),
+            Some(Ok(response)) => {
+                lease.sender = Some(sender);
+                Ok(response)
+            }
+            Some(Err(mut error)) => Err(if error.take_message().is_some() {
+                Failure::NotSent(error.error().to_string())
+            } else {
+                Failure::Unknown(error.error().to_string())
+            }),
+        }
+    }
+
+    /// Sorts out answers that are none to this request, or that say that it
+    /// was not run.
+    fn check(&self, response: Response<Incoming>, mut lease: Lease) -> Result<Started, Failure> {
+        let (head, body) = response.into_parts();
+        let answer = header::decode_answer(head.status, &head.headers, &self.call.attempt);
+        if !answer.own {
+            lease.end(Outcome::Broken, false);
+            return Err(Failure::Unknown(
+                "an answer to another request came".to_owned(),
+            ));
+        }
+        if let Some(load) = answer.load {
+            let mut known = self.gateway.site.known();
+            known.fleet.report(self.now(), lease.key, load);
+        }
+        if answer.not_run {
+            let replaced = head.status == StatusCode::MISDIRECTED_REQUEST;
+            lease.end(
+                if replaced {
+                    Outcome::Replaced
+                } else {
+                    Outcome::Full
+                },
+                false,
+            );
+            return Err(Failure::NotRun(if replaced {
+                "another server has its address"
+            } else {
+                "it is full"
+            }));
+        }
+        let success = head.status.is_success();
+        let promise = [408, 421, 429, 503].contains(&head.status.as_u16());
+        if answer.encoded || (success && !answer.signed) || promise {
+            lease.end(Outcome::Broken, false);
+            return Err(Failure::Unknown(format!(
+                "an answer with status {} that cannot be passed on",
+                head.status.as_u16()
+            )));
+        }
+        lease.keep = answer.keep;
+        if answer.closing {
+            let label = "closed_by_answer";
+            self.gateway
+                .meters
+                .connections
+                .with_label_values(&[label])
+                .inc();
+            lease.sender = None;
+        }
+        Ok(Started {
+            head,
+            answer,
+            body,
+            lease,
+        })
+    }
+
+    /// Returns the rank of the request among those of its server.
+    fn urgency(&self) -> Option<u8> {
+        let engine = matches!(self.route.kind, Kind::Stream { .. });
+        engine.then(|| 3 + self.route.priority.min(6))
+    }
+}
--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -29,6 +29,7 @@
 
 use crate::clock::Clock;
 use crate::http::Bounds;
+use crate::http::HEAD_WAIT;
 use crate::http::serve;
 use crate::keys;
 use crate::links::LinkEvent;
@@ -182,6 +183,7 @@
     let listening = Bounds {
         connections: settings.limits.connections,
         head: settings.limits.head,
+        wait: HEAD_WAIT,
     };
     let (end, ended) = async_channel::bounded::<()>(1);
     smol::spawn(serve(health, listening, metrics.handler(), ended.clone())).detach();
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -19,14 +19,14 @@
 use limpetferry_lib::routing::Kind;
 use limpetferry_platform::header;
 
+use crate::attempt::Failure;
+use crate::attempt::Lease;
+use crate::attempt::Started;
 use crate::http::Body;
 use crate::http::Cut;
-use crate::relay::Failure;
+use crate::refusal::Refusal;
+use crate::refusal::late;
 use crate::relay::Job;
-use crate::relay::Lease;
-use crate::relay::Refusal;
-use crate::relay::Started;
-use crate::relay::late;
 use crate::timeout::within;
 use crate::turns::OpenTurn;
 
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -16,15 +16,17 @@
 use limpetferry_lib::fleet::ServerKey;
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::NodeId;
-use limpetferry_lib::shed::Shed;
+use limpetferry_lib::load_shed::LoadShed;
+use limpetferry_lib::retry_hint::RetryHints;
+use limpetferry_lib::routing::Limits;
 use limpetferry_lib::time::Time;
-use limpetferry_lib::turnaway::Turnaway;
 use prometheus::core::Collector as _;
 use smol::net::TcpListener;
 
+use crate::attempt::Failure;
 use crate::clock::Clock;
+use crate::follow;
 use crate::gateway_settings::GatewaySettings;
-use crate::hearsay;
 use crate::held::Held;
 use crate::http;
 use crate::http::Body;
@@ -37,10 +39,9 @@
 use crate::peer::Hello;
 use crate::platform_store::PlatformStore;
 use crate::pool::Pool;
+use crate::refusal::Refusal;
 use crate::relay;
-use crate::relay::Failure;
 use crate::relay::Job;
-use crate::relay::Refusal;
 use crate::reload::Live;
 use crate::replicas::Replicas;
 use crate::site::Site;
@@ -81,8 +82,8 @@
     pub meters: GatewayMeters,
     stopping: AtomicBool,
     in_touch: AtomicBool,
-    turnaway: Mutex<Turnaway>,
-    shed: Mutex<Shed>,
+    hints: Mutex<RetryHints>,
+    shed: Mutex<LoadShed>,
 }
 
 impl Gateway {
@@ -106,8 +107,8 @@
         !self.is_ready()
     }
 
-    fn turnaway(&self) -> MutexGuard<'_, Turnaway> {
-        self.turnaway.lock().expect("no panic while locked")
+    fn hints(&self) -> MutexGuard<'_, RetryHints> {
+        self.hints.lock().expect("no panic while locked")
     }
 
     /// Returns when the caller of a program's line is to come back, as this
@@ -118,7 +119,7 @@
     /// Panics if another thread panicked while it held the lock.
     pub fn come_back(&self, program: &Program) -> Duration {
         let now = self.clock.now();
-        self.turnaway().after(now, &program.id, &program.line)
+        self.hints().after(now, &program.id, &program.line)
     }
 
     /// Takes a turn of a program, or returns when its caller is to come back.
@@ -167,7 +168,7 @@
             known.routing.is_some() && known.keepers.open
         };
         let now = known && self.turns.is_in_reach();
-        self.turnaway().set_ready(self.clock.now(), now);
+        self.hints().set_ready(self.clock.now(), now);
         self.meters.ready.set(i64::from(self.is_ready()));
         if self.in_touch.swap(now, Ordering::Relaxed) != now {
             let note = Note::new(if now { "ready" } else { "not_ready" });
@@ -303,7 +304,7 @@
     };
     let replicas = Replicas::new(hello.clone(), clock);
     let seeds = common.seeds.clone();
-    smol::spawn(hearsay::follow(
+    smol::spawn(follow::follow(
         site.clone(),
         replicas.clone(),
         hello,
@@ -324,7 +325,7 @@
         meters: GatewayMeters::new()?,
         stopping: AtomicBool::new(false),
         in_touch: AtomicBool::new(false),
-        turnaway: Mutex::default(),
+        hints: Mutex::default(),
         shed: Mutex::default(),
     });
     let note = Note::new("started").with("role", "gateway");
@@ -346,9 +347,12 @@
         }
     })
     .detach();
+    let limits = Limits::default();
     let bounds = Bounds {
         connections: settings.connections,
-        head: limpetferry_lib::routing::Limits::default().head,
+        head: limits.head,
+        // Callers use connections that were idle for up to four fifths of it.
+        wait: limits.idle_wait,
     };
     let serving = smol::spawn(http::serve(
         callers,
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -45,8 +45,8 @@
 /// Wait for a connection to a server: a hundred times the way between data
 /// centres, and short enough to try another server in time.
 const CONNECT_WAIT: Duration = Duration::from_millis(350);
-/// Wait for the headers of a request.
-const HEADER_WAIT: Duration = Duration::from_secs(10);
+/// Wait for the head of a request where nothing else is set.
+pub const HEAD_WAIT: Duration = Duration::from_secs(10);
 /// Time between looks whether all connections have ended.
 const END_LOOK: Duration = Duration::from_millis(20);
 /// Headers of one request.
@@ -75,6 +75,8 @@
     pub connections: usize,
     /// Bytes of a request's head.
     pub head: usize,
+    /// Longest time without a request's head: between requests, or within one.
+    pub wait: Duration,
 }
 
 impl Bounds {
@@ -82,6 +84,7 @@
     pub const SMALL: Self = Self {
         connections: 64,
         head: 8 << 10,
+        wait: HEAD_WAIT,
     };
 }
 
@@ -138,7 +141,7 @@
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(HEADER_WAIT)
+        .header_read_timeout(bounds.wait)
         .max_headers(MAX_HEADERS)
         .max_buf_size(bounds.head.max(8192))
         .half_close(false)
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -24,8 +24,8 @@
 use crate::clock::Clock;
 use crate::disk::Disk;
 use crate::disk::Job;
+use crate::follow;
 use crate::gateway_settings::KeeperSettings;
-use crate::hearsay;
 use crate::http;
 use crate::http::Bounds;
 use crate::keeper_list::KeeperList;
@@ -201,7 +201,7 @@
             let waiting = self.site.wait_news();
             let mut news = self.site.news(after);
             if news.is_none() && !self.site.is_away() {
-                within(hearsay::HOLD, waiting.recv()).await;
+                within(follow::HOLD, waiting.recv()).await;
                 news = self.site.news(after);
             }
             let reply = news.unwrap_or_else(|| Reply::Changes {
@@ -439,7 +439,7 @@
     smol::spawn(site.follow(PlatformStore::new(common.store))).detach();
     let replicas = Replicas::new(hello.clone(), clock);
     let seeds = common.seeds.clone();
-    smol::spawn(hearsay::follow_when_away(
+    smol::spawn(follow::follow_when_away(
         keeper.site.clone(),
         replicas.clone(),
         hello,
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! bytes become events, and effects become bytes. Nothing is decided here.
 
 pub mod answers;
+pub mod attempt;
 pub mod backend;
 pub mod callers;
 pub mod clock;
@@ -9,9 +10,9 @@
 pub mod disk;
 pub mod entry_node;
 pub mod flow;
+pub mod follow;
 pub mod gateway;
 pub mod gateway_settings;
-pub mod hearsay;
 pub mod held;
 pub mod http;
 pub mod keeper_list;
@@ -26,6 +27,7 @@
 pub mod peer;
 pub mod platform_store;
 pub mod pool;
+pub mod refusal;
 pub mod registration;
 pub mod relay;
 pub mod reload;
--- /dev/null
+++ b/net/src/refusal.rs
@@ -0,0 +1,77 @@
+//! Answers of the system's own.
+
+use std::time::Duration;
+
+use http::HeaderValue;
+use http::Response;
+use http::StatusCode;
+
+use crate::http::Body;
+use crate::http::whole;
+
+/// When to come back while nothing is known yet, or no server is there.
+pub const RETRY_UNKNOWN: Duration = Duration::from_millis(300);
+
+/// Why a request gets an answer of the system's own.
+#[derive(Clone, Debug)]
+pub struct Refusal {
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// What is wrong and what remedies it.
+    pub why: &'static str,
+    /// When to come back.
+    pub after: Option<Duration>,
+}
+
+impl Refusal {
+    /// Makes a refusal without a time to come back.
+    pub fn new(status: StatusCode, why: &'static str) -> Self {
+        Self {
+            status,
+            why,
+            after: None,
+        }
+    }
+
+    /// Makes the refusal of a request that has not run and may come back.
+    pub fn later(after: Duration, why: &'static str) -> Self {
+        // Callers that were refused together do not return together.
+        let spread = rand::random_range(0.7..1.3);
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            why,
+            after: Some(after.mul_f64(spread)),
+        }
+    }
+
+    /// Makes the answer.
+    pub fn answer(&self) -> Response<Body> {
+        let text = format!("{{\"error\":{:?}}}\n", self.why);
+        let mut response = Response::new(whole(text));
+        *response.status_mut() = self.status;
+        let headers = response.headers_mut();
+        headers.insert("content-type", HeaderValue::from_static("application/json"));
+        let after = self
+            .after
+            .map(|after| format!("{:.3}", after.as_secs_f64()));
+        if let Some(value) = after.and_then(|text| HeaderValue::from_str(&text).ok()) {
+            headers.insert("retry-after", value);
+        }
+        response
+    }
+}
+
+/// The last answer of a request whose time is over.
+pub fn late(runs: u32) -> Refusal {
+    if runs > 0 {
+        Refusal::new(
+            StatusCode::GATEWAY_TIMEOUT,
+            "the time is over; whether the request ran is unknown",
+        )
+    } else {
+        Refusal::later(
+            RETRY_UNKNOWN,
+            "the time is over, and the request did not run",
+        )
+    }
+}
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -14,6 +14,7 @@
 use limpetferry_lib::ledger::Link;
 use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::membership::Membership;
+use limpetferry_lib::membership::Replicas as ReplicaSet;
 use limpetferry_lib::membership::Standing;
 use limpetferry_lib::opening::Opening;
 use limpetferry_lib::opening::Step;
@@ -391,58 +392,120 @@
         let limit = self.clock.now() + END_WAIT;
         let mut synced: HashSet<Arc<str>> = HashSet::new();
         loop {
-            let membership = self.site.known().keepers.clone();
-            let replicas = membership.replicas(&begin.program, self.faults);
-            let (sender, heard) = async_channel::unbounded();
-            let mut asked: HashSet<Arc<str>> = synced.clone();
-            let mut places = replicas.keepers.clone();
-            // Those that have the beginning need only the end.
-            places.sort_by_key(|&at| !noted.contains(&membership.keepers[at].node));
-            let mut wide = false;
-            loop {
-                for &at in &places {
-                    let enough = |at: usize| asked.contains(&membership.keepers[at].node);
-                    if !wide && replicas.majority(enough) {
-                        break;
-                    }
-                    let node = &membership.keepers[at].node;
-                    let full = !noted.contains(node);
-                    let question = Question::End {
-                        begin: full.then(|| begin.clone()),
-                        finish: finish.clone(),
-                        epoch: membership.epoch,
-                    };
-                    if !asked.contains(node) && self.replicas.ask(node, question, &sender) {
-                        asked.insert(node.clone());
-                    }
-                }
-                let done = |at: usize| synced.contains(&membership.keepers[at].node);
-                if replicas.majority(done) {
-                    return true;
+            let mut ending = self.ending(begin, noted, &synced);
+            match self.end_by(&mut ending, begin, &finish, noted, limit).await {
+                Some(done) => return done,
+                // Keepers that have the end need not be asked again.
+                None => synced = ending.synced,
+            }
+        }
+    }
+
+    fn ending(
+        &self,
+        begin: &Begin,
+        noted: &HashSet<Arc<str>>,
+        synced: &HashSet<Arc<str>>,
+    ) -> Ending {
+        let membership = self.site.known().keepers.clone();
+        let replicas = membership.replicas(&begin.program, self.faults);
+        let mut places = replicas.keepers.clone();
+        // Those that have the beginning need only the end.
+        places.sort_by_key(|&at| !noted.contains(&membership.keepers[at].node));
+        Ending {
+            membership,
+            replicas,
+            places,
+            asked: synced.clone(),
+            synced: synced.clone(),
+            wide: false,
+        }
+    }
+
+    /// Ends a turn by one list of keepers; `None` if the list is an old one.
+    async fn end_by(
+        &self,
+        ending: &mut Ending,
+        begin: &Begin,
+        finish: &Finish,
+        noted: &HashSet<Arc<str>>,
+        limit: Time,
+    ) -> Option<bool> {
+        let (sender, heard) = async_channel::unbounded();
+        loop {
+            self.ask_end(ending, begin, finish, noted, &sender);
+            if ending.majority(&ending.synced) {
+                return Some(true);
+            }
+            let left = limit.since(self.clock.now());
+            if left.is_zero() {
+                return Some(false);
+            }
+            let Some(Ok(heard)) = within(left.min(ASK_AGAIN), heard.recv()).await else {
+                ending.wide = true;
+                continue;
+            };
+            match heard.reply {
+                Some(Reply::Synced) => {
+                    ending.synced.insert(heard.node);
                 }
-                let left = limit.since(self.clock.now());
-                if left.is_zero() {
-                    return false;
+                Some(Reply::Stale(membership)) => {
+                    self.site.take_keepers(membership, 0);
+                    return None;
                 }
-                let Some(Ok(heard)) = within(left.min(ASK_AGAIN), heard.recv()).await else {
-                    wide = true;
-                    continue;
-                };
-                match heard.reply {
-                    Some(Reply::Synced) => {
-                        synced.insert(heard.node);
-                    }
-                    Some(Reply::Stale(membership)) => {
-                        self.site.take_keepers(membership, 0);
-                        break;
-                    }
-                    _ => {
-                        asked.remove(&heard.node);
-                    }
+                _ => {
+                    ending.asked.remove(&heard.node);
                 }
             }
         }
     }
+
+    /// Asks a majority to put the end on disk, or all once that took long.
+    fn ask_end(
+        &self,
+        ending: &mut Ending,
+        begin: &Begin,
+        finish: &Finish,
+        noted: &HashSet<Arc<str>>,
+        sender: &HeardSender,
+    ) {
+        for &at in &ending.places {
+            if !ending.wide && ending.majority(&ending.asked) {
+                return;
+            }
+            let node = &ending.membership.keepers[at].node;
+            let full = !noted.contains(node);
+            let question = Question::End {
+                begin: full.then(|| begin.clone()),
+                finish: finish.clone(),
+                epoch: ending.membership.epoch,
+            };
+            if !ending.asked.contains(node) && self.replicas.ask(node, question, sender) {
+                ending.asked.insert(node.clone());
+            }
+        }
+    }
+}
+
+/// The questions about a turn's end, by one list of keepers.
+struct Ending {
+    membership: Arc<Membership>,
+    replicas: ReplicaSet,
+    /// Places of the replicas, in the order in which they are asked.
+    places: Vec<usize>,
+    /// Names of those that were asked.
+    asked: HashSet<Arc<str>>,
+    /// Names of those that have the end on disk.
+    synced: HashSet<Arc<str>>,
+    /// Whether more are asked than a majority.
+    wide: bool,
+}
+
+impl Ending {
+    fn majority(&self, names: &HashSet<Arc<str>>) -> bool {
+        self.replicas
+            .majority(|at| names.contains(&self.membership.keepers[at].node))
+    }
 }
 
 impl OpenTurn {
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins for the platform and for backend servers, with faults
 //! that a test switches on, and a load command. Nothing here ships.
 
+pub mod check;
 pub mod client;
 pub mod engine;
 pub mod experiment;
--- a/testutils/src/listen.rs
+++ b/testutils/src/listen.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 
 use limpetferry_net::http::Bounds;
+use limpetferry_net::http::HEAD_WAIT;
 use limpetferry_net::http::Handler;
 use limpetferry_net::http::serve;
 use limpetferry_net::links::bind;
@@ -12,6 +13,7 @@
 const BOUNDS: Bounds = Bounds {
     connections: 10_000,
     head: 64 << 10,
+    wait: HEAD_WAIT,
 };
 
 /// Serves `handler` at `address` until the returned sender is dropped;
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -337,6 +337,10 @@
     }
 
     /// Returns whether a gateway takes callers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if its address cannot stand in a request, which none does.
     pub async fn is_ready(&self, number: usize) -> bool {
         let address = self.gateways[number].ready.to_string();
         let request = Request::get("/api/readyz").header("host", &address);
--- a/testutils/src/platform_store.rs
+++ b/testutils/src/platform_store.rs
@@ -174,10 +174,10 @@
         let path = request.uri().path().to_owned();
         let field = |name: &str| {
             let pairs = query.split('&').filter_map(|pair| pair.split_once('='));
-            let found = pairs
+            let mut found = pairs
                 .filter(|(key, _)| *key == name)
                 .map(|(_, value)| value);
-            found.last().unwrap_or_default().to_owned()
+            found.next_back().unwrap_or_default().to_owned()
         };
         match path.as_str() {
             "/api/kv-range" => {
