keepers: an end needs its beginning, and a lost disk a new epoch

Ruled out: telling askers of each lost link (it comes too late if the way is cut). Change: a keeper refuses an end without its beginning, and the gateway sends both; a keeper that lost its disk puts the list under a new epoch before it copies, after which the others refuse what goes by the older one. While the store is away a wiped keeper waits; the others go on.

--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -217,6 +217,12 @@
         links
     }
 
+    /// Returns whether the beginning of a turn is here.
+    pub fn has_begun(&self, turn: &str) -> bool {
+        let turn = self.turns.get(turn);
+        turn.is_some_and(|turn| turn.begin.is_some())
+    }
+
     /// Returns whether a turn is here and whole.
     pub fn has(&self, turn: &str) -> bool {
         let turn = self.turns.get(turn);
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -144,6 +144,16 @@
         Some(next)
     }
 
+    /// Returns the same list under a new epoch, for a keeper that lost its disk:
+    /// once it copies by that one, what goes by an older list is refused, and
+    /// what it acknowledged before the loss no longer counts for turns that are
+    /// still on their way to others.
+    pub fn renew(&self) -> Self {
+        let mut next = self.clone();
+        next.epoch += 1;
+        next
+    }
+
     /// Returns the list with a keeper that goes; `None` if it goes already or
     /// is not in it.
     pub fn leave(&self, node: &str) -> Option<Self> {
--- a/lib/tests/turn_world/mod.rs
+++ b/lib/tests/turn_world/mod.rs
@@ -103,6 +103,7 @@
     Seen(View),
     Synced,
     EndSynced,
+    Unbegun,
     Stale(Membership),
     Lost,
 }
@@ -131,6 +132,8 @@
     written: Vec<(Record, usize, Waits)>,
     membership: Membership,
     copied: BTreeSet<Arc<str>>,
+    /// Whether the list was renewed since the disk was lost.
+    renewed: bool,
 }
 
 impl KeeperNode {
@@ -400,6 +403,9 @@
                 let view = keeper.view(&self.turns[envelope.turn].begin);
                 self.reply(&envelope, Body::Seen(view));
             }
+            Body::End(None, finish) if !keeper.ledger.has_begun(&finish.turn) => {
+                self.reply(&envelope, Body::Unbegun);
+            }
             Body::End(begin, finish) => {
                 if let Some(record) = begin.map(Record::Begin) {
                     keeper.ledger.apply(now, record.clone());
@@ -435,6 +441,11 @@
                 self.begin_anew(id, list);
                 return Ok(());
             }
+            Body::Unbegun => {
+                turn.asked.remove(&envelope.node);
+                turn.noted.remove(&envelope.node);
+                return Ok(());
+            }
             Body::Lost => {
                 turn.asked.remove(&envelope.node);
                 turn.noted.remove(&envelope.node);
@@ -494,6 +505,7 @@
             Phase::Running => self.finish(id, false),
             Phase::Ending => {
                 turn.membership = self.known[turn.entry].clone();
+                turn.ended.clear();
                 turn.asked.clear();
                 self.mail.retain(|mail| mail.turn != id);
             }
@@ -610,6 +622,7 @@
         if wipe {
             keeper.disk.clear();
             keeper.whole = false;
+            keeper.renewed = false;
             self.counts.wiped += 1;
         }
         self.mail.retain(|mail| mail.node != name);
@@ -658,6 +671,11 @@
             return;
         }
         let had = own.standing == Standing::Member && !keeper.whole;
+        if had && !keeper.renewed {
+            self.list = list.renew();
+            self.keepers.get_mut(&name).expect("it was named").renewed = true;
+            return;
+        }
         if keeper.membership.epoch < list.epoch {
             let keeper = self.keepers.get_mut(&name).expect("it was named");
             keeper.membership = list.clone();
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use limpetferry_lib::ask::Question;
@@ -51,6 +53,8 @@
     faults: usize,
     /// Keepers from which all was copied, with the epoch of the list.
     copied: Mutex<HashSet<(u64, Arc<str>)>>,
+    /// Whether the list was renewed since this keeper lost its disk.
+    renewed: AtomicBool,
     /// What the operator was last told of the emptying.
     reported: Mutex<Option<RetireState>>,
 }
@@ -69,6 +73,7 @@
             address: settings.common.peers,
             faults: settings.common.faults,
             copied: Mutex::default(),
+            renewed: false.into(),
             reported: Mutex::default(),
         })
     }
@@ -125,6 +130,12 @@
         }
         // A keeper that joins never held a program by this list.
         let had = own.standing == Standing::Member && !whole;
+        if had && !self.renewed.swap(true, Ordering::Relaxed) {
+            let result = self.renew(store, &membership).await;
+            self.renewed
+                .store(matches!(result, Ok(true)), Ordering::Relaxed);
+            return result.map(|_| ());
+        }
         if self.catch_up(&membership, had).await {
             if !whole {
                 self.set_whole().await;
@@ -327,6 +338,24 @@
         Ok(())
     }
 
+    /// Puts the list under a new epoch before a keeper that lost its disk
+    /// copies anything. Returns whether that was done.
+    async fn renew(
+        &self,
+        store: &mut PlatformStore,
+        membership: &Membership,
+    ) -> Result<bool, PlatformError> {
+        let next = membership.renew();
+        let epoch = next.epoch;
+        self.swap(store, Some(next)).await?;
+        let done = self.keeper.site.known().keepers.epoch == epoch;
+        if done {
+            self.keeper
+                .note(Note::new("list_renewed").with("epoch", epoch));
+        }
+        Ok(done)
+    }
+
     /// Writes the next list, if there is one. A conflict only means that the
     /// watch brings another list first.
     async fn swap(
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -161,6 +161,14 @@
                 self.keep(vec![Record::Begin(begin)], Some((sender.clone(), ticket)));
                 return;
             }
+            // Its beginning was lost with the power: an end alone is no turn.
+            Question::End {
+                begin: None,
+                ref finish,
+                ..
+            } if !self.state().ledger.has_begun(&finish.turn) => {
+                Reply::Failed("the turn's beginning is not here; send it too".to_owned())
+            }
             Question::End { begin, finish, .. } => {
                 let begin = begin.map(Record::Begin);
                 let records = begin.into_iter().chain([Record::Finish(finish)]);
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -390,23 +390,18 @@
     /// is there.
     async fn finish(&self, begin: &Begin, finish: Finish, noted: &HashSet<Arc<str>>) -> bool {
         let limit = self.clock.now() + END_WAIT;
-        let mut synced: HashSet<Arc<str>> = HashSet::new();
         loop {
-            let mut ending = self.ending(begin, noted, &synced);
-            match self.end_by(&mut ending, begin, &finish, noted, limit).await {
+            let mut ending = self.ending(begin, noted);
+            match self.end_by(&mut ending, begin, &finish, limit).await {
                 Some(done) => return done,
-                // Keepers that have the end need not be asked again.
-                None => synced = ending.synced,
+                // A keeper that acknowledged it may have lost its disk since:
+                // by the new list all are asked again.
+                None => continue,
             }
         }
     }
 
-    fn ending(
-        &self,
-        begin: &Begin,
-        noted: &HashSet<Arc<str>>,
-        synced: &HashSet<Arc<str>>,
-    ) -> Ending {
+    fn ending(&self, begin: &Begin, noted: &HashSet<Arc<str>>) -> Ending {
         let membership = self.site.known().keepers.clone();
         let replicas = membership.replicas(&begin.program, self.faults);
         let mut places = replicas.keepers.clone();
@@ -416,8 +411,9 @@
             membership,
             replicas,
             places,
-            asked: synced.clone(),
-            synced: synced.clone(),
+            noted: noted.clone(),
+            asked: HashSet::new(),
+            synced: HashSet::new(),
             wide: false,
         }
     }
@@ -428,12 +424,11 @@
         ending: &mut Ending,
         begin: &Begin,
         finish: &Finish,
-        noted: &HashSet<Arc<str>>,
         limit: Time,
     ) -> Option<bool> {
         let (sender, heard) = async_channel::unbounded();
         loop {
-            self.ask_end(ending, begin, finish, noted, &sender);
+            self.ask_end(ending, begin, finish, &sender);
             if ending.majority(&ending.synced) {
                 return Some(true);
             }
@@ -454,6 +449,8 @@
                     return None;
                 }
                 _ => {
+                    // It may have lost the beginning.
+                    ending.noted.remove(&heard.node);
                     ending.asked.remove(&heard.node);
                 }
             }
@@ -461,20 +458,13 @@
     }
 
     /// Asks a majority to put the end on disk, or all once that took long.
-    fn ask_end(
-        &self,
-        ending: &mut Ending,
-        begin: &Begin,
-        finish: &Finish,
-        noted: &HashSet<Arc<str>>,
-        sender: &HeardSender,
-    ) {
+    fn ask_end(&self, ending: &mut Ending, begin: &Begin, finish: &Finish, sender: &HeardSender) {
         for &at in &ending.places {
             if !ending.wide && ending.majority(&ending.asked) {
                 return;
             }
             let node = &ending.membership.keepers[at].node;
-            let full = !noted.contains(node);
+            let full = !ending.noted.contains(node);
             let question = Question::End {
                 begin: full.then(|| begin.clone()),
                 finish: finish.clone(),
@@ -493,6 +483,8 @@
     replicas: ReplicaSet,
     /// Places of the replicas, in the order in which they are asked.
     places: Vec<usize>,
+    /// Names of those that have the beginning, as far as is known.
+    noted: HashSet<Arc<str>>,
     /// Names of those that were asked.
     asked: HashSet<Arc<str>>,
     /// Names of those that have the end on disk.
