net: keep the platform's names in the adapter; name the header that is malformed

Cause: read as a newcomer, relay.rs named two of the platform's headers, its refusal of a malformed request did not say which header, and one constant stood twice. Change: the adapter reads and writes the attempt's id; refusals carry the decoder's own message; one constant.

--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -24,6 +24,7 @@
 use crate::attempt::Started;
 use crate::http::Body;
 use crate::http::Cut;
+use crate::refusal::RETRY_KEEPERS;
 use crate::refusal::Refusal;
 use crate::refusal::late;
 use crate::relay::Job;
@@ -32,8 +33,6 @@
 
 /// Tokens of an event where the service does not say.
 const USUAL_EVENT_TOKENS: u64 = 1;
-/// When to come back after too few keepers put a turn on disk.
-const RETRY_KEEPERS: Duration = Duration::from_millis(250);
 
 /// One stream.
 pub struct Flow {
@@ -134,7 +133,7 @@
             self.events = 0;
             return Err(Refusal {
                 status: StatusCode::BAD_GATEWAY,
-                why: "too few keepers put the turn on disk; send it again",
+                why: "too few keepers put the turn on disk; send it again".into(),
                 after: Some(RETRY_KEEPERS),
             });
         }
@@ -155,7 +154,7 @@
                     Err(cut) => Some((Err(cut), (None, None))),
                 },
                 Err(refusal) => {
-                    flow.job.gateway.cut(&flow.job, flow.events, refusal.why);
+                    flow.job.gateway.cut(&flow.job, flow.events, &refusal.why);
                     Some((Err(Cut), (None, None)))
                 }
             }
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -191,7 +191,7 @@
             Note::new("refused")
                 .with("attempt", attempt)
                 .with("status", refusal.status.as_u16())
-                .with("why", refusal.why)
+                .with("why", &refusal.why)
                 .with("after_ms", after)
                 .with("waited_ms", self.waited(start)),
         );
--- a/net/src/refusal.rs
+++ b/net/src/refusal.rs
@@ -1,5 +1,6 @@
 //! Answers of the system's own.
 
+use std::borrow::Cow;
 use std::time::Duration;
 
 use http::HeaderValue;
@@ -9,6 +10,9 @@
 use crate::http::Body;
 use crate::http::whole;
 
+/// When to come back while too few keepers answer: one is back in some
+/// hundred milliseconds.
+pub const RETRY_KEEPERS: Duration = Duration::from_millis(250);
 /// When to come back while nothing is known yet, or no server is there.
 pub const RETRY_UNKNOWN: Duration = Duration::from_millis(300);
 
@@ -18,28 +22,28 @@
     /// Status of the answer.
     pub status: StatusCode,
     /// What is wrong and what remedies it.
-    pub why: &'static str,
+    pub why: Cow<'static, str>,
     /// When to come back.
     pub after: Option<Duration>,
 }
 
 impl Refusal {
     /// Makes a refusal without a time to come back.
-    pub fn new(status: StatusCode, why: &'static str) -> Self {
+    pub fn new(status: StatusCode, why: impl Into<Cow<'static, str>>) -> Self {
         Self {
             status,
-            why,
+            why: why.into(),
             after: None,
         }
     }
 
     /// Makes the refusal of a request that has not run and may come back.
-    pub fn later(after: Duration, why: &'static str) -> Self {
+    pub fn later(after: Duration, why: impl Into<Cow<'static, str>>) -> Self {
         // Callers that were refused together do not return together.
         let spread = rand::random_range(0.7..1.3);
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
-            why,
+            why: why.into(),
             after: Some(after.mul_f64(spread)),
         }
     }
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::held::Hold;
 use crate::http::Body;
 use crate::http::whole;
+use crate::refusal::RETRY_KEEPERS;
 use crate::refusal::RETRY_UNKNOWN;
 use crate::refusal::Refusal;
 use crate::refusal::late;
@@ -37,9 +38,6 @@
 use crate::turns::OpenTurn;
 use crate::turns::TurnRefusal;
 
-/// When to come back while too few keepers answer: one is back in some
-/// hundred milliseconds.
-const RETRY_KEEPERS: Duration = Duration::from_millis(250);
 /// Bytes held for a body that does not say its length, some of the sheets'
 /// largest prompts.
 const USUAL_BODY: usize = 16 << 10;
@@ -74,7 +72,7 @@
 pub async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
     let start = gateway.clock.now();
     let (head, body) = request.into_parts();
-    let attempt = head.headers.get("x-attempt-id").cloned();
+    let attempt = header::attempt(&head.headers).cloned();
     let id = attempt.as_ref().and_then(|value| value.to_str().ok());
     let id = id.unwrap_or("none").to_owned();
     let mut response = match relay(&gateway, start, head, body).await {
@@ -83,7 +81,7 @@
             gateway.refused(&id, &refusal, start);
             let mut response = refusal.answer();
             if let Some(attempt) = attempt {
-                response.headers_mut().insert("x-attempt-id", attempt);
+                header::set_attempt(response.headers_mut(), attempt);
             }
             response
         }
@@ -107,12 +105,8 @@
     head: http::request::Parts,
     body: Incoming,
 ) -> Result<Response<Body>, Refusal> {
-    let call = header::decode_call(&head.headers).map_err(|_| {
-        Refusal::new(
-            StatusCode::BAD_REQUEST,
-            "a header is missing or malformed; send those that the interface names",
-        )
-    })?;
+    let call = header::decode_call(&head.headers)
+        .map_err(|error| Refusal::new(StatusCode::BAD_REQUEST, error.to_string()))?;
     let routing = gateway.site.known().routing.clone();
     let Some(routing) = routing else {
         return Err(Refusal::later(
@@ -233,7 +227,7 @@
             if kept {
                 return Err(Refusal::new(
                     StatusCode::BAD_REQUEST,
-                    "X-Program-Id is missing; send it with each turn",
+                    "the turn names no program; name it with each turn",
                 ));
             }
             return Ok(None);
@@ -259,7 +253,7 @@
         let open = open.map_err(|refusal| match refusal {
             TurnRefusal::Spent => Refusal::new(
                 StatusCode::PAYMENT_REQUIRED,
-                "the program's budget does not hold this turn; raise X-Token-Budget",
+                "the program's budget does not hold this turn; give the program more",
             ),
             TurnRefusal::NoPrevious => Refusal::new(
                 StatusCode::NOT_FOUND,
