--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -1,7 +1,6 @@
 //! An event stream on its way from a server to a caller.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
