http: refuse bodies by their own word, and tell malformed ones apart, on either interface

Cause: on the product's own interface a Content-Length of 1 GiB was waited for, and a malformed chunk got 413 (both seen when the issue was filed); the gateway had its own copy of the reading. Change: one function reads bodies; it refuses what says that it is too long before it comes, and says whether it was too long or broken. Two tests over raw connections; they were not seen red here.

--- a/net/src/backend.rs
+++ b/net/src/backend.rs
@@ -191,13 +191,13 @@
 
 async fn read_whole(body: Incoming, status: u16, kind: String) -> BackendEnd {
     match crate::http::read_body(body, MAX_ANSWER).await {
-        Some(bytes) => BackendEnd::Answer(Answer {
+        Ok(bytes) => BackendEnd::Answer(Answer {
             status,
             kind,
             body: bytes.to_vec(),
             turn: None,
             tokens: 0,
         }),
-        None => BackendEnd::Failed,
+        Err(_) => BackendEnd::Failed,
     }
 }
--- a/net/src/callers.rs
+++ b/net/src/callers.rs
@@ -51,6 +51,7 @@
 use crate::entry_node::EntryHandle;
 use crate::entry_node::Piece;
 use crate::http::Body;
+use crate::http::BodyError;
 use crate::http::Cut;
 use crate::http::Handler;
 use crate::http::json as json_answer;
@@ -122,9 +123,12 @@
     let scope = scope(handle, request.headers())?;
     let (head, body) = request.into_parts();
     let limit = handle.settings.limits.body;
-    let body = read_body(body, limit)
-        .await
-        .ok_or_else(|| Refusal::with(Code::TooLarge, format!("the body may have {limit} bytes")))?;
+    let body = read_body(body, limit).await.map_err(|error| match error {
+        BodyError::TooLong => {
+            Refusal::with(Code::TooLarge, format!("the body may have {limit} bytes"))
+        }
+        BodyError::Broken => Refusal::with(Code::BadRequest, error.to_string()),
+    })?;
     let path = head.uri.path().to_owned();
     let with_query = head
         .uri
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -182,11 +182,32 @@
         .expect("a constant status and header are valid")
 }
 
-/// Reads a whole body of at most `limit` bytes; `None` if it is longer or
-/// breaks off.
-pub async fn read_body(body: Incoming, limit: usize) -> Option<Bytes> {
-    let read = Limited::new(body, limit).collect().await;
-    read.ok().map(|whole| whole.to_bytes())
+/// Says why a body was not read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
+pub enum BodyError {
+    /// It is longer than the limit, by its own word or as it came.
+    #[error("the body is longer than allowed; send less")]
+    TooLong,
+    /// It broke off, or is malformed.
+    #[error("the body broke off or is malformed; send it whole")]
+    Broken,
+}
+
+/// Reads a whole body of at most `limit` bytes. One that says that it is
+/// longer is refused before it comes.
+///
+/// # Errors
+///
+/// Returns a [`BodyError`] if it is too long or does not come whole.
+pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+    if hyper::body::Body::size_hint(&body).lower() > limit as u64 {
+        return Err(BodyError::TooLong);
+    }
+    match Limited::new(body, limit).collect().await {
+        Ok(whole) => Ok(whole.to_bytes()),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(BodyError::TooLong),
+        Err(_) => Err(BodyError::Broken),
+    }
 }
 
 /// A connection to a server.
--- a/net/src/operators.rs
+++ b/net/src/operators.rs
@@ -30,6 +30,7 @@
 use crate::entry_node::EntryHandle;
 use crate::entry_node::Piece;
 use crate::http::Body;
+use crate::http::BodyError;
 use crate::http::Handler;
 use crate::http::json as json_answer;
 use crate::http::read_body;
@@ -61,9 +62,10 @@
     let operator = operator(handle, &request)?;
     let (head, body) = request.into_parts();
     let limit = handle.settings.limits.body;
-    let body = read_body(body, limit)
-        .await
-        .ok_or_else(|| Refusal::new(Code::TooLarge))?;
+    let body = read_body(body, limit).await.map_err(|error| match error {
+        BodyError::TooLong => Refusal::new(Code::TooLarge),
+        BodyError::Broken => Refusal::with(Code::BadRequest, error.to_string()),
+    })?;
     let path = head.uri.path();
     match (&head.method, path) {
         (&Method::GET, "/v1/config") => show(handle, &operator).await,
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -12,7 +12,6 @@
 use http::StatusCode;
 use http::Uri;
 use http_body_util::BodyExt as _;
-use http_body_util::Limited;
 use hyper::body::Incoming;
 use limpetferry_lib::call::Call;
 use limpetferry_lib::fleet::Outcome;
@@ -29,6 +28,8 @@
 use crate::gateway::Gateway;
 use crate::held::Hold;
 use crate::http::Body;
+use crate::http::BodyError;
+use crate::http::read_body;
 use crate::http::whole;
 use crate::refusal::RETRY_KEEPERS;
 use crate::refusal::RETRY_UNKNOWN;
@@ -149,14 +150,14 @@
             "too many requests are held here; come back",
         ));
     };
-    let body = within(left, read_body(body, routing.limits.body))
-        .await
-        .unwrap_or_else(|| {
-            Err(Refusal::new(
-                StatusCode::REQUEST_TIMEOUT,
-                "the body did not come in time; send it faster",
-            ))
-        })?;
+    let read = within(left, read_body(body, routing.limits.body)).await;
+    let Some(read) = read else {
+        return Err(Refusal::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "the body did not come in time; send it faster",
+        ));
+    };
+    let body = read.map_err(unread)?;
     let Some(service) = route.service(rand::random()).cloned() else {
         return Err(Refusal::later(
             RETRY_UNKNOWN,
@@ -192,14 +193,10 @@
     )
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, Refusal> {
-    match Limited::new(body, limit).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<http_body_util::LengthLimitError>() => Err(too_long()),
-        Err(_) => Err(Refusal::new(
-            StatusCode::BAD_REQUEST,
-            "the body broke off or is malformed; send it whole",
-        )),
+fn unread(error: BodyError) -> Refusal {
+    match error {
+        BodyError::TooLong => too_long(),
+        BodyError::Broken => Refusal::new(StatusCode::BAD_REQUEST, error.to_string()),
     }
 }
 
--- a/net/tests/errors.rs
+++ b/net/tests/errors.rs
@@ -5,12 +5,15 @@
 use limpetferry_testutils::client::Got;
 use limpetferry_testutils::engine::EngineRules;
 use limpetferry_testutils::service::ServiceRules;
+use limpetferry_testutils::site::CALLER_KEY;
 use limpetferry_testutils::site::Mode;
 use limpetferry_testutils::site::Site;
 use limpetferry_testutils::site::eventually;
 use limpetferry_testutils::store::StoreFaults;
 use serde_json::Value;
 use serde_json::json;
+use smol::io::AsyncReadExt as _;
+use smol::io::AsyncWriteExt as _;
 
 const CHAT: &str = "/v1/chat/completions";
 const TRANSFER: &str = "/v1/tools/transfers/move";
@@ -360,3 +363,40 @@
         assert_eq!(runs, [1, 2], "only what did not run was run again");
     });
 }
+
+/// Sends bytes with a caller's key to an entry, and returns what comes back.
+async fn send_bytes(site: &Site, head: &str) -> String {
+    let stream = smol::net::TcpStream::connect(site.entries[0].callers).await;
+    let mut stream = stream.expect("the entry listens");
+    let text = head.replace("KEY", CALLER_KEY);
+    stream.write_all(text.as_bytes()).await.expect("it reads");
+    let mut answer = vec![0; 1_024];
+    let size = stream.read(&mut answer).await.expect("it answers");
+    String::from_utf8_lossy(&answer[..size]).into_owned()
+}
+
+#[test]
+fn a_body_that_says_that_it_is_too_long_is_refused_before_it_comes() {
+    smol::block_on(async {
+        let site = Site::start(1, 1, 1).await;
+        let head = "POST /v1/programs HTTP/1.1\r\nhost: x\r\nauthorization: Bearer KEY\r\n\
+                    content-length: 1073741824\r\n\r\n";
+
+        let answer = send_bytes(&site, head).await;
+
+        assert!(answer.starts_with("HTTP/1.1 413"), "{answer}");
+    });
+}
+
+#[test]
+fn a_malformed_chunk_is_a_bad_request() {
+    smol::block_on(async {
+        let site = Site::start(1, 1, 1).await;
+        let head = "POST /v1/programs HTTP/1.1\r\nhost: x\r\nauthorization: Bearer KEY\r\n\
+                    transfer-encoding: chunked\r\n\r\nno number\r\nabc\r\n";
+
+        let answer = send_bytes(&site, head).await;
+
+        assert!(answer.starts_with("HTTP/1.1 400"), "{answer}");
+    });
+}
