net, lib: call what stood already, and do work once

The gateway and the keeper bound their listeners by hand, beside the bind of links.rs whose longer queue was made for bursts; framing of records, FNV hashes and the end of a run stood two or three times; a gateway put a turn's whole history together at each look for keepers only to see whether it was there, and copied it once more before its input; it collected all server ids four times a second. Now: links::bind, frames.rs, hash.rs, Job::count_run, Failure::outcome, Chains::has_chain and Chains::prompt, Fleet::contains. Gone: a gauge that was always zero, two decoded fields that nobody read. Formats on disk, hashes and answers are the same; the summary line shows the bytes held instead of that gauge.

--- a/lib/src/chains.rs
+++ b/lib/src/chains.rs
@@ -51,14 +51,33 @@
         Some(link)
     }
 
-    /// Returns what a server is to receive before a turn that continues from
-    /// `previous`: the texts of the whole chain, oldest first; or the first
-    /// turn that is missing.
+    /// Returns whether a turn and all those before it are here.
+    pub fn has_chain(&self, turn: &str) -> bool {
+        let mut next = Some(turn);
+        while let Some(id) = next {
+            let Some(link) = self.young.get(id).or_else(|| self.old.get(id)) else {
+                return false;
+            };
+            next = link.previous.as_deref();
+        }
+        true
+    }
+
+    /// Returns what a server is to receive for a turn that continues from
+    /// `previous`: the texts of the whole chain, oldest first, then the new
+    /// input; or the first turn that is missing.
     ///
     /// # Errors
     ///
     /// Returns the id of the turn that is not here.
-    pub fn history(&mut self, previous: Option<&Arc<str>>) -> Result<Bytes, Arc<str>> {
+    pub fn prompt(
+        &mut self,
+        previous: Option<&Arc<str>>,
+        input: &Bytes,
+    ) -> Result<Bytes, Arc<str>> {
+        if previous.is_none() {
+            return Ok(input.clone());
+        }
         let mut texts = Vec::new();
         let mut next = previous.cloned();
         while let Some(id) = next {
@@ -66,10 +85,12 @@
             next = link.previous;
             texts.push(link.text);
         }
-        let mut whole = BytesMut::with_capacity(texts.iter().map(Bytes::len).sum());
+        let history: usize = texts.iter().map(Bytes::len).sum();
+        let mut whole = BytesMut::with_capacity(history + input.len());
         for text in texts.iter().rev() {
             whole.extend_from_slice(text);
         }
+        whole.extend_from_slice(input);
         Ok(whole.freeze())
     }
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -11,6 +11,7 @@
 use slotmap::new_key_type;
 
 use crate::call::Part;
+use crate::hash;
 use crate::time::Time;
 
 new_key_type! {
@@ -203,10 +204,7 @@
 }
 
 fn digest(text: &str) -> u64 {
-    // FNV-1a; nobody gains by a collision here.
-    text.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    })
+    hash::fnv(text.bytes())
 }
 
 /// The servers that one process knows.
@@ -276,9 +274,9 @@
         Some(member.server.id)
     }
 
-    /// Returns the ids of all servers.
-    pub fn ids(&self) -> impl Iterator<Item = &Arc<str>> {
-        self.ids.keys()
+    /// Returns whether a server of that id is known.
+    pub fn contains(&self, id: &str) -> bool {
+        self.ids.contains_key(id)
     }
 
     /// Returns a server.
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::hash;
 use crate::time::Time;
 
 /// A turn that is about to run.
@@ -293,7 +294,7 @@
             let begun = u64::from(turn.begin.is_some());
             let ended = u64::from(turn.finish.is_some());
             let mark = begun + 2 * ended;
-            hash(id).wrapping_mul(2 * mark + 1)
+            hash::spread(id.bytes()).wrapping_mul(2 * mark + 1)
         });
         each.fold(0, u64::wrapping_add)
     }
@@ -332,16 +333,6 @@
     }
 }
 
-/// FNV-1a over the id, its bits spread so that sums of them do not collide by
-/// their form.
-fn hash(id: &str) -> u64 {
-    let hash = id.bytes().fold(0xcbf2_9ce4_8422_2325, |hash, byte| {
-        (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
-    let mixed = (hash ^ (hash >> 32)).wrapping_mul(0xd6e8_feb8_6659_fd93);
-    mixed ^ (mixed >> 32)
-}
-
 fn fill<T>(slot: &mut Option<T>, value: T) -> bool {
     let new = slot.is_none();
     slot.get_or_insert(value);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod fleet;
 pub mod front;
 mod guard;
+mod hash;
 pub mod history;
 pub mod id;
 pub mod keeper;
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::hash;
+
 /// What a change of the list makes of a keeper.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -200,12 +202,5 @@
 /// Rendezvous hashing: the keepers with the largest weights hold the program,
 /// so a change of the list moves no more programs than it has to.
 fn weight(node: &str, program: &str) -> u64 {
-    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
-    for byte in node.bytes().chain([0]).chain(program.bytes()) {
-        hash = (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
-    // FNV mixes its last bytes badly; this spreads them.
-    hash ^= hash >> 32;
-    hash = hash.wrapping_mul(0xd6e8_feb8_6659_fd93);
-    hash ^ (hash >> 32)
+    hash::spread(node.bytes().chain([0]).chain(program.bytes()))
 }
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -13,7 +13,6 @@
 use limpetferry_lib::fleet::Wish;
 use limpetferry_lib::routing::Kind;
 use limpetferry_platform::header;
-use limpetferry_platform::header::Answer;
 use limpetferry_platform::header::Dispatch;
 
 use crate::gateway::Gateway;
@@ -86,6 +85,14 @@
 }
 
 impl Failure {
+    /// Returns what it says of its server.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::Late => Outcome::Abandoned,
+            _ => Outcome::Broken,
+        }
+    }
+
     /// Returns its name in metrics.
     pub fn label(&self) -> &'static str {
         match self {
@@ -101,8 +108,6 @@
 pub struct Started {
     /// Status and headers.
     pub head: http::response::Parts,
-    /// What the headers say.
-    pub answer: Answer,
     /// The body.
     pub body: Incoming,
     /// The request at the server.
@@ -196,13 +201,7 @@
                 }
                 Failure::Late => return Err(late(1)),
                 Failure::Unknown(_) => {
-                    *runs += 1;
-                    if !self.may_repeat(*runs) {
-                        return Err(Refusal::new(
-                            StatusCode::BAD_GATEWAY,
-                            "the server broke off; whether the request ran is unknown",
-                        ));
-                    }
+                    self.count_run(runs)?;
                 }
             }
         }
@@ -237,8 +236,24 @@
         None
     }
 
+    /// Counts a server that may have run the request.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal that the caller gets if it may not run again.
+    pub fn count_run(&self, runs: &mut u32) -> Result<(), Refusal> {
+        *runs += 1;
+        if self.may_repeat(*runs) {
+            return Ok(());
+        }
+        Err(Refusal::new(
+            StatusCode::BAD_GATEWAY,
+            "the server broke off; whether the request ran is unknown",
+        ))
+    }
+
     /// Returns whether a request that may have run `runs` times may run again.
-    pub fn may_repeat(&self, runs: u32) -> bool {
+    fn may_repeat(&self, runs: u32) -> bool {
         match self.route.kind {
             Kind::Idempotent => runs < self.route.attempts,
             Kind::Once => false,
@@ -285,15 +300,7 @@
                     if let (Some(idle), Failure::Unknown(_)) = (idle, &failure) {
                         self.gateway.pool.note_dropped(self.now(), idle);
                     }
-                    let broken = !matches!(failure, Failure::Late);
-                    lease.end(
-                        if broken {
-                            Outcome::Broken
-                        } else {
-                            Outcome::Abandoned
-                        },
-                        false,
-                    );
+                    lease.end(failure.outcome(), false);
                     return Err(failure);
                 }
             }
@@ -386,12 +393,7 @@
                 .inc();
             lease.sender = None;
         }
-        Ok(Started {
-            head,
-            answer,
-            body,
-            lease,
-        })
+        Ok(Started { head, body, lease })
     }
 
     /// Returns the rank of the request among those of its server.
--- a/net/src/copies.rs
+++ b/net/src/copies.rs
@@ -19,14 +19,11 @@
 use limpetferry_lib::keeper::CopyRecord;
 use thiserror::Error;
 
+use crate::frames;
 use crate::settings::DataSettings;
 
 /// First bytes of the file; another layout gets another number.
 const MAGIC: &[u8] = b"limpetferry-copies 1\n";
-/// Bytes of the size and of the checksum before each record.
-const HEAD: usize = 8;
-/// Largest record.
-const MAX_RECORD: usize = 64 << 20;
 /// Size below which the file is never written anew.
 const SMALL: u64 = 4 << 20;
 /// Growth since the last rewriting after which the file is written anew.
@@ -252,16 +249,8 @@
 }
 
 fn frame(record: &CopyRecord) -> Result<Vec<u8>, CopyError> {
-    let mut bytes = vec![0; HEAD];
-    bincode::serde::encode_into_std_write(record, &mut bytes, bincode::config::standard())
-        .map_err(|error| CopyError::Record(error.to_string()))?;
-    let size = bytes.len() - HEAD;
-    if size > MAX_RECORD {
-        return Err(CopyError::Record(format!("{size} bytes in one record")));
-    }
-    let sum = crc32fast::hash(&bytes[HEAD..]);
-    bytes[..4].copy_from_slice(&(size as u32).to_be_bytes());
-    bytes[4..HEAD].copy_from_slice(&sum.to_be_bytes());
+    let mut bytes = Vec::new();
+    frames::append(record, &mut bytes).map_err(CopyError::Record)?;
     Ok(bytes)
 }
 
@@ -278,27 +267,10 @@
     }
     let mut found = Found::default();
     let mut rest = &bytes[head.len()..];
-    while let Some((record, size)) = read_record(rest) {
+    while let Some((record, size)) = frames::first(rest) {
         found.records.push(record);
         rest = &rest[size..];
     }
     found.torn = rest.len() as u64;
     (found, (bytes.len() - rest.len()) as u64)
 }
-
-/// Reads the first record with its size; `None` if it is not whole.
-fn read_record(bytes: &[u8]) -> Option<(CopyRecord, usize)> {
-    let number = |at: usize| Some(u32::from_be_bytes(bytes.get(at..at + 4)?.try_into().ok()?));
-    let size = number(0)? as usize;
-    let sum = number(4)?;
-    if size > MAX_RECORD {
-        return None;
-    }
-    let body = bytes.get(HEAD..HEAD + size)?;
-    if crc32fast::hash(body) != sum {
-        return None;
-    }
-    let config = bincode::config::standard().with_limit::<MAX_RECORD>();
-    let (record, _) = bincode::serde::decode_from_slice(body, config).ok()?;
-    Some((record, HEAD + size))
-}
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -225,15 +225,7 @@
                 .gateway
                 .attempt_failed(&self.job.call.attempt, lease.key, &failure);
             same = Some(lease.key);
-            let late = matches!(failure, Failure::Late);
-            lease.end(
-                if late {
-                    Outcome::Abandoned
-                } else {
-                    Outcome::Broken
-                },
-                false,
-            );
+            lease.end(failure.outcome(), false);
         }
         if matches!(failure, Failure::Late) {
             return Err(late(1));
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
-use eyre::WrapErr as _;
 use hyper::Response;
 use hyper::StatusCode;
 use limpetferry_lib::call::Program;
@@ -21,7 +20,6 @@
 use limpetferry_lib::routing::Limits;
 use limpetferry_lib::time::Time;
 use prometheus::core::Collector as _;
-use smol::net::TcpListener;
 
 use crate::attempt::Failure;
 use crate::clock::Clock;
@@ -33,6 +31,7 @@
 use crate::http::Bounds;
 use crate::http::Handler;
 use crate::http::whole;
+use crate::links::bind;
 use crate::log;
 use crate::meters::GatewayMeters;
 use crate::metrics;
@@ -266,7 +265,7 @@
                 note = note.with("connections", pair);
             }
         }
-        self.note(note.with("open", self.meters.open.get()));
+        self.note(note.with("held_bytes", self.held.bytes()));
     }
 
     async fn expire(self: Arc<Self>) {
@@ -279,9 +278,8 @@
             }
             self.look();
             let known = self.site.known();
-            let ids: std::collections::HashSet<Arc<str>> = known.fleet.ids().cloned().collect();
-            drop(known);
-            self.pool.expire(self.clock.now(), |id| ids.contains(id));
+            self.pool
+                .expire(self.clock.now(), |id| known.fleet.contains(id));
         }
     }
 }
@@ -331,13 +329,13 @@
     let note = Note::new("started").with("role", "gateway");
     gateway.note(note.with("callers", settings.callers));
     let (close, closed) = async_channel::bounded::<()>(1);
-    let callers = listen(settings.callers, "callers").await?;
-    let ready = listen(settings.ready, "ready").await?;
+    let callers = bind("callers", settings.callers)?;
+    let ready = bind("ready", settings.ready)?;
     smol::spawn(site.clone().follow(PlatformStore::new(common.store))).detach();
     smol::spawn(site.clone().expire()).detach();
     smol::spawn(gateway.clone().expire()).detach();
     smol::spawn(gateway.clone().measure_lateness()).detach();
-    let metrics = listen(common.metrics, "common.metrics").await?;
+    let metrics = bind("common.metrics", common.metrics)?;
     let shown = gateway.clone();
     let shown = metrics::handler(&gateway.meters.registry, move || shown.is_ready());
     smol::spawn(http::serve(metrics, Bounds::SMALL, shown, closed.clone())).detach();
@@ -385,12 +383,6 @@
     Ok(())
 }
 
-async fn listen(address: std::net::SocketAddr, what: &str) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
-        .wrap_err_with(|| format!("cannot listen on {address}; set another address for {what}"))
-}
-
 fn handler(gateway: &Arc<Gateway>) -> Handler {
     let gateway = gateway.clone();
     Arc::new(move |request| {
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -113,15 +113,11 @@
             return self.retire(store, &membership).await;
         }
         let node = self.keeper.node.as_str();
-        let Some(at) = membership.place(node) else {
-            let next = membership.join(node, self.address, self.faults);
-            return self.swap(store, next).await;
+        let joined = membership.join(node, self.address, self.faults);
+        let (None, Some(at)) = (&joined, membership.place(node)) else {
+            return self.swap(store, joined).await;
         };
         let own = &membership.keepers[at];
-        if own.address != self.address {
-            let next = membership.join(node, self.address, self.faults);
-            return self.swap(store, next).await;
-        }
         if own.standing == Standing::Leaving {
             return Ok(());
         }
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
-use eyre::WrapErr as _;
 use limpetferry_lib::ask::KeeperMessage;
 use limpetferry_lib::ask::Question;
 use limpetferry_lib::ask::Reply;
@@ -29,6 +28,7 @@
 use crate::http;
 use crate::http::Bounds;
 use crate::keeper_list::KeeperList;
+use crate::links::bind;
 use crate::log;
 use crate::meters::KeeperMeters;
 use crate::metrics;
@@ -431,13 +431,9 @@
         boot: Boot(rand::random()),
         key: common.key_digest(),
     };
-    let listener = TcpListener::bind(common.peers)
-        .await
-        .wrap_err_with(|| format!("cannot listen on {}; set common.peers", common.peers))?;
+    let listener = bind("common.peers", common.peers)?;
     smol::spawn(keeper.clone().listen(listener, hello.clone())).detach();
-    let metrics = TcpListener::bind(common.metrics)
-        .await
-        .wrap_err_with(|| format!("cannot listen on {}; set common.metrics", common.metrics))?;
+    let metrics = bind("common.metrics", common.metrics)?;
     let (_close, closed) = async_channel::bounded(1);
     let shown = keeper.clone();
     let shown = metrics::handler(&keeper.meters.registry, move || shown.state().whole);
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod entry_node;
 pub mod flow;
 pub mod follow;
+mod frames;
 pub mod gateway;
 pub mod gateway_settings;
 pub mod held;
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -70,8 +70,6 @@
     pub resumed: IntCounter,
     /// Streams that were broken off.
     pub cut: IntCounter,
-    /// Requests under way.
-    pub open: IntGauge,
     /// Version of the routing in force.
     pub routing: IntGauge,
     /// Servers that take requests.
@@ -99,7 +97,6 @@
             connections: make.counters("connections_total", "Connections used", "source")?,
             resumed: make.counter("streams_resumed_total", "Streams that went on")?,
             cut: make.counter("streams_cut_total", "Streams that were broken off")?,
-            open: make.gauge("requests_open", "Requests under way")?,
             routing: make.gauge("routing_version", "Version of the routing in force")?,
             servers: make.gauge("servers_ready", "Servers that take requests")?,
             ready: make.gauge("ready", "Whether the process takes callers")?,
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -264,8 +264,8 @@
                 "too few keepers are within reach here; come back",
             ),
         })?;
-        if !open.history.is_empty() {
-            self.body = [&open.history[..], &self.body[..]].concat().into();
+        if kept {
+            self.body = open.prompt.clone();
         }
         Ok(Some(open))
     }
@@ -284,13 +284,7 @@
                     self.gateway
                         .attempt_failed(&self.call.attempt, key, &failure);
                     tried.push(key);
-                    runs += 1;
-                    if !self.may_repeat(runs) {
-                        return Err(Refusal::new(
-                            StatusCode::BAD_GATEWAY,
-                            "the server broke off; whether the request ran is unknown",
-                        ));
-                    }
+                    self.count_run(&mut runs)?;
                 }
             }
         }
--- a/net/src/segments.rs
+++ b/net/src/segments.rs
@@ -16,16 +16,13 @@
 use limpetferry_lib::ledger::Record;
 use thiserror::Error;
 
+use crate::frames;
 use crate::site_file;
 
 /// End of the names of files with records.
 const SUFFIX: &str = ".turns";
 /// File that says that the keeper has all that it ever acknowledged.
 const WHOLE: &str = "whole";
-/// Bytes of the size and of the checksum before each record.
-const HEAD: usize = 8;
-/// Largest record: a caller's body and what an engine may answer.
-const MAX_RECORD: usize = 64 << 20;
 /// Size at which a new file is begun, small against the disks of 420 MB and
 /// more, and large against a second's 2 MB.
 const SEGMENT_BYTES: u64 = 8 << 20;
@@ -114,7 +111,7 @@
     pub fn append(&mut self, records: &[Record]) -> Result<(), SegmentError> {
         let mut batch = Vec::new();
         for record in records {
-            encode(record, &mut batch)?;
+            frames::append(record, &mut batch).map_err(SegmentError::Record)?;
         }
         let whole = self.bytes() + batch.len() as u64;
         if whole > self.most {
@@ -238,44 +235,13 @@
     Ok((file, Segment { number, bytes: 0 }))
 }
 
-fn encode(record: &Record, batch: &mut Vec<u8>) -> Result<(), SegmentError> {
-    let bytes = bincode::serde::encode_to_vec(record, bincode::config::standard())
-        .map_err(|error| SegmentError::Record(error.to_string()))?;
-    if bytes.len() > MAX_RECORD {
-        return Err(SegmentError::Record(format!("{} bytes", bytes.len())));
-    }
-    batch.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
-    batch.extend_from_slice(&crc32fast::hash(&bytes).to_be_bytes());
-    batch.extend_from_slice(&bytes);
-    Ok(())
-}
-
 /// Reads records up to the first one that is not whole, and returns the bytes
 /// that they take.
 fn read_records(bytes: &[u8], records: &mut Vec<Record>) -> usize {
     let mut at = 0;
-    while let Some((record, size)) = read_record(&bytes[at..]) {
+    while let Some((record, size)) = frames::first(&bytes[at..]) {
         records.push(record);
         at += size;
     }
     at
 }
-
-fn read_record(bytes: &[u8]) -> Option<(Record, usize)> {
-    let word = |at: usize| -> Option<u32> {
-        let bytes = bytes.get(at..at + 4)?;
-        Some(u32::from_be_bytes(bytes.try_into().ok()?))
-    };
-    let size = word(0)? as usize;
-    let sum = word(4)?;
-    if size > MAX_RECORD {
-        return None;
-    }
-    let body = bytes.get(HEAD..HEAD + size)?;
-    if crc32fast::hash(body) != sum {
-        return None;
-    }
-    let config = bincode::config::standard().with_limit::<MAX_RECORD>();
-    let (record, _) = bincode::serde::decode_from_slice(body, config).ok()?;
-    Some((record, HEAD + size))
-}
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -75,8 +75,8 @@
     turns: Arc<Turns>,
     begin: Begin,
     round: Round,
-    /// What a server is to receive before the new input.
-    pub history: Bytes,
+    /// What a server is to receive: the history, then the new input.
+    pub prompt: Bytes,
 }
 
 /// The questions about one turn, by one list of keepers.
@@ -131,9 +131,16 @@
         far <= self.faults
     }
 
-    fn history(&self, begin: &Begin) -> Result<Bytes, Arc<str>> {
+    fn prompt(&self, begin: &Begin) -> Result<Bytes, Arc<str>> {
         let mut chains = self.chains.lock().expect("no panic while locked");
-        chains.history(begin.previous.as_ref())
+        chains.prompt(begin.previous.as_ref(), &begin.input)
+    }
+
+    /// Returns whether a turn's history has to come from a keeper.
+    fn is_cold(&self, begin: &Begin) -> bool {
+        let chains = self.chains.lock().expect("no panic while locked");
+        let previous = begin.previous.as_ref();
+        previous.is_some_and(|turn| !chains.has_chain(turn))
     }
 
     fn remember(&self, links: Vec<Link>) {
@@ -168,12 +175,12 @@
                 return Err(refusal);
             }
         };
-        match self.find_history(&begin, limit).await {
-            Ok(history) => Ok(OpenTurn {
+        match self.find_prompt(&begin, limit).await {
+            Ok(prompt) => Ok(OpenTurn {
                 turns: self.clone(),
                 begin,
                 round,
-                history,
+                prompt,
             }),
             Err(refusal) => {
                 self.withdraw(begin);
@@ -236,8 +243,7 @@
     /// Asks a majority of the replicas, or all once that took long: those that
     /// were not asked, or whose link ended since.
     fn ask_missing(&self, round: &mut Round, begin: &Begin) {
-        let cold = begin.previous.is_some() && self.history(begin).is_err();
-        let mut chain = cold && round.asked.is_empty();
+        let mut chain = round.asked.is_empty() && self.is_cold(begin);
         for at in round.unasked() {
             let enough = |at: usize| round.asked.contains(&at);
             if !round.wide && round.opening.replicas().majority(enough) {
@@ -312,10 +318,10 @@
     }
 
     /// Finds what a turn continues from: in this process, or at any keeper.
-    async fn find_history(&self, begin: &Begin, limit: Time) -> Result<Bytes, TurnRefusal> {
+    async fn find_prompt(&self, begin: &Begin, limit: Time) -> Result<Bytes, TurnRefusal> {
         loop {
-            let missing = match self.history(begin) {
-                Ok(history) => return Ok(history),
+            let missing = match self.prompt(begin) {
+                Ok(prompt) => return Ok(prompt),
                 Err(missing) => missing,
             };
             self.fetch(&missing, limit).await?;
@@ -464,13 +470,16 @@
                 return;
             }
             let node = &ending.membership.keepers[at].node;
+            if ending.asked.contains(node) {
+                continue;
+            }
             let full = !ending.noted.contains(node);
             let question = Question::End {
                 begin: full.then(|| begin.clone()),
                 finish: finish.clone(),
                 epoch: ending.membership.epoch,
             };
-            if !ending.asked.contains(node) && self.replicas.ask(node, question, sender) {
+            if self.replicas.ask(node, question, sender) {
                 ending.asked.insert(node.clone());
             }
         }
