net: one timer for all bounds; links and disks hold shared pieces of texts once

First inputs (14 kB, 12.6 of them shared by programs of a kind) went whole to each keeper, and stayed whole in memory and on disk. Change: lib/src/text.rs cuts first inputs where their bytes say so; links and segments name pieces that the reader has; the ledger holds each piece once. Bounds wait behind one timer of the reactor. 'behind' and 'caught_up' lines say by what a gateway fell behind.

--- a/lib/src/chains.rs
+++ b/lib/src/chains.rs
@@ -8,6 +8,7 @@
 use bytes::BytesMut;
 
 use crate::ledger::Link;
+use crate::text::Text;
 
 /// A bounded store of turns; the older half goes when the younger is full.
 #[derive(Clone, Debug)]
@@ -70,13 +71,9 @@
     /// # Errors
     ///
     /// Returns the id of the turn that is not here.
-    pub fn prompt(
-        &mut self,
-        previous: Option<&Arc<str>>,
-        input: &Bytes,
-    ) -> Result<Bytes, Arc<str>> {
+    pub fn prompt(&mut self, previous: Option<&Arc<str>>, input: &Text) -> Result<Bytes, Arc<str>> {
         if previous.is_none() {
-            return Ok(input.clone());
+            return Ok(input.bytes());
         }
         let mut texts = Vec::new();
         let mut next = previous.cloned();
@@ -85,12 +82,12 @@
             next = link.previous;
             texts.push(link.text);
         }
-        let history: usize = texts.iter().map(Bytes::len).sum();
+        let history: usize = texts.iter().map(Text::len).sum();
         let mut whole = BytesMut::with_capacity(history + input.len());
         for text in texts.iter().rev() {
-            whole.extend_from_slice(text);
+            text.append_to(&mut whole);
         }
-        whole.extend_from_slice(input);
+        input.append_to(&mut whole);
         Ok(whole.freeze())
     }
 }
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -11,6 +11,8 @@
 use serde::Serialize;
 
 use crate::hash;
+use crate::text::Pieces;
+use crate::text::Text;
 use crate::time::Time;
 
 /// A turn that is about to run.
@@ -23,7 +25,7 @@
     /// The turn that it continues from.
     pub previous: Option<Arc<str>>,
     /// What the caller sent anew; empty where no history is kept.
-    pub input: Bytes,
+    pub input: Text,
     /// Most tokens that it may hand out.
     pub most: u64,
 }
@@ -62,6 +64,14 @@
         }
     }
 
+    /// Returns its text, if it is one that may have shared pieces.
+    pub fn text(&mut self) -> Option<&mut Text> {
+        match self {
+            Self::Begin(begin) => Some(&mut begin.input),
+            Self::Finish(_) => None,
+        }
+    }
+
     /// Returns the bytes of its texts, for bounds on memory.
     pub fn size(&self) -> usize {
         match self {
@@ -90,7 +100,7 @@
     /// The turn before.
     pub previous: Option<Arc<str>>,
     /// Its input, then its output.
-    pub text: Bytes,
+    pub text: Text,
 }
 
 /// Whether a keeper has a turn.
@@ -132,7 +142,7 @@
         Some(Link {
             turn: begin.turn.clone(),
             previous: begin.previous.clone(),
-            text: [&begin.input[..], &finish.output[..]].concat().into(),
+            text: begin.input.then(&finish.output),
         })
     }
 }
@@ -148,6 +158,7 @@
 pub struct Ledger {
     turns: HashMap<Arc<str>, Turn>,
     programs: HashMap<Arc<str>, ProgramTurns>,
+    pieces: Pieces,
     bytes: usize,
 }
 
@@ -160,7 +171,6 @@
             Record::Finish(finish) => finish.turn.clone(),
         };
         let name = record.program().clone();
-        let size = record.size();
         let program = self.programs.entry(name.clone()).or_insert(ProgramTurns {
             turns: Vec::new(),
             active: now,
@@ -174,14 +184,19 @@
                 finish: None,
             }
         });
-        let new = match record {
-            Record::Begin(begin) => fill(&mut turn.begin, begin),
-            Record::Finish(finish) => fill(&mut turn.finish, finish),
-        };
-        if new {
-            self.bytes += size;
+        match record {
+            Record::Begin(mut begin) if turn.begin.is_none() => {
+                self.bytes += self.pieces.hold(&mut begin.input);
+                turn.begin = Some(begin);
+                true
+            }
+            Record::Finish(finish) if turn.finish.is_none() => {
+                self.bytes += finish.output.len();
+                turn.finish = Some(finish);
+                true
+            }
+            _ => false,
         }
-        new
     }
 
     /// Returns what each turn of a program counts against its budget, but for
@@ -264,7 +279,8 @@
             let Some(turn) = self.turns.remove(&id) else {
                 continue;
             };
-            self.bytes -= turn.begin.map_or(0, |begin| begin.input.len());
+            let input = turn.begin.map(|begin| begin.input);
+            self.bytes -= input.map_or(0, |input| self.pieces.release(&input));
             self.bytes -= turn.finish.map_or(0, |finish| finish.output.len());
         }
     }
@@ -317,7 +333,7 @@
         (digests.collect(), more)
     }
 
-    /// Returns the bytes of all texts.
+    /// Returns the bytes of all texts, shared pieces once.
     pub fn bytes(&self) -> usize {
         self.bytes
     }
@@ -332,9 +348,3 @@
         self.turns.is_empty()
     }
 }
-
-fn fill<T>(slot: &mut Option<T>, value: T) -> bool {
-    let new = slot.is_none();
-    slot.get_or_insert(value);
-    new
-}
--- a/lib/src/load_shed.rs
+++ b/lib/src/load_shed.rs
@@ -36,6 +36,7 @@
 pub struct LoadShed {
     late: f64,
     answers: f64,
+    behind: bool,
     young: HashSet<Arc<str>>,
     old: HashSet<Arc<str>>,
 }
@@ -52,9 +53,33 @@
         self.answers += (took.as_secs_f64() - self.answers) * NEWEST;
     }
 
+    /// Returns whether the gateway has fallen behind its work, or has caught up
+    /// again, since it was last asked.
+    pub fn change(&mut self) -> Option<bool> {
+        let late = self.lateness();
+        let behind = if self.behind {
+            late > FIRST_LATE / 2
+        } else {
+            late > FIRST_LATE
+        };
+        let changed = behind != self.behind;
+        self.behind = behind;
+        changed.then_some(behind)
+    }
+
+    /// Returns how late timers are now.
+    pub fn timers(&self) -> Duration {
+        Duration::from_secs_f64(self.late.max(0.0))
+    }
+
+    /// Returns how late the keepers' answers are now.
+    pub fn answers(&self) -> Duration {
+        Duration::from_secs_f64(self.answers.max(0.0))
+    }
+
     /// Returns how late timers or answers are now.
     pub fn lateness(&self) -> Duration {
-        Duration::from_secs_f64(self.late.max(self.answers).max(0.0))
+        self.timers().max(self.answers())
     }
 
     /// Takes a turn, or returns when its caller is to come back. `draw` is a
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -154,6 +154,12 @@
             let mut shed = self.shed.lock().expect("no panic while locked");
             shed.observe(late);
             self.meters.lag.set(shed.lateness().as_millis() as i64);
+            if let Some(behind) = shed.change() {
+                let note = Note::new(if behind { "behind" } else { "caught_up" })
+                    .with("timers_ms", shed.timers().as_millis())
+                    .with("answers_ms", shed.answers().as_millis());
+                self.note(note);
+            }
         }
     }
 
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -23,10 +23,10 @@
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
-use smol_hyper::rt::SmolTimer;
 use thiserror::Error;
 
 use crate::sockets::Stream;
+use crate::timeout::HttpTimer;
 use crate::timeout::within;
 
 /// Says that an answer ends before it is whole, so that its caller sees it
@@ -140,7 +140,7 @@
         async move { Ok::<_, Infallible>(answering.await) }
     });
     let connection = hyper::server::conn::http1::Builder::new()
-        .timer(SmolTimer::new())
+        .timer(HttpTimer)
         .header_read_timeout(bounds.wait)
         .max_headers(MAX_HEADERS)
         .max_buf_size(bounds.head.max(8192))
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -18,6 +18,7 @@
 use limpetferry_lib::ledger::Begin;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::routing::Route;
+use limpetferry_lib::text::Text;
 use limpetferry_lib::time::Time;
 use limpetferry_platform::header;
 
@@ -237,9 +238,9 @@
             program: program.id.clone(),
             previous: self.call.previous.clone().filter(|_| kept),
             input: if kept {
-                self.body.clone()
+                Text::cut(self.body.clone())
             } else {
-                Bytes::new()
+                Text::default()
             },
             most: self.call.most_tokens,
         };
