urgency: programs whose time is over come after others at engines

Engines ran 11.7 of 12 places with 5 waiting: programs that were late already took places from those that came after and made them late too. Change: the rank at engines follows what remains of a program's time: those whose time is over come after all others. Servers to which there is an idle connection cost 4 ms less. Refusals name the program.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -71,8 +71,14 @@
     Abandoned,
 }
 
+/// Tells to which servers there is a connection that nobody uses.
+pub trait Connected {
+    /// Returns whether there is one to the server of this id.
+    fn has(&self, server: &str) -> bool;
+}
+
 /// What the choice of a server depends on besides its load.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Default)]
 pub struct Wish<'a> {
     /// Parts of the prompt.
     pub parts: &'a [Part],
@@ -80,6 +86,8 @@
     pub object: Option<&'a str>,
     /// Servers that were tried and are not to be tried again.
     pub tried: &'a [ServerKey],
+    /// Idle connections of the chooser, if it keeps any.
+    pub connected: Option<&'a dyn Connected>,
     /// Data centre of the chooser.
     pub centre: &'a str,
     /// A number from 0 up to 1 that breaks ties.
@@ -99,6 +107,9 @@
 const PREFILL_SHARE: f64 = 0.25;
 /// Cost of leaving the data centre, in ms: two ways of 1.4 ms, and the bytes.
 const FAR_MS: f64 = 4.0;
+/// Cost of a new connection, in ms: a round trip of 2 ms before the request,
+/// a place at the server for 1 ms, and work at both ends.
+const CONNECT_MS: f64 = 4.0;
 /// Gain of a server that handled the object before, in ms.
 const OBJECT_MS: f64 = 8.0;
 /// Age at which a reported load has lost half of its weight: turns last some
@@ -187,6 +198,10 @@
         if &*self.server.centre != wish.centre {
             cost += FAR_MS;
         }
+        let connected = wish.connected;
+        if connected.is_some_and(|connected| !connected.has(&self.server.id)) {
+            cost += CONNECT_MS;
+        }
         if wish
             .object
             .is_some_and(|object| self.seen.has(digest(object)))
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -52,3 +52,4 @@
 pub mod text;
 pub mod time;
 mod turn;
+pub mod urgency;
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -12,6 +12,7 @@
 use limpetferry_lib::fleet::ServerKey;
 use limpetferry_lib::fleet::Wish;
 use limpetferry_lib::routing::Kind;
+use limpetferry_lib::urgency;
 use limpetferry_platform::header;
 use limpetferry_platform::header::Dispatch;
 
@@ -21,6 +22,7 @@
 use crate::refusal::Refusal;
 use crate::refusal::late;
 use crate::relay::Job;
+use crate::steps::Step;
 use crate::timeout::within;
 
 /// Tries at servers that refuse for lack of room before the caller is told to
@@ -120,14 +122,19 @@
             parts: &self.call.parts,
             object: self.call.object.as_deref(),
             tried,
+            connected: None,
             centre: &self.gateway.centre,
             draw: rand::random(),
         }
     }
 
     fn pick(&self, tried: &[ServerKey]) -> Option<Lease> {
-        let wish = self.wish(tried);
         let key = {
+            let warm = self.gateway.pool.warm(self.now(), self.runs_once());
+            let wish = Wish {
+                connected: Some(&warm),
+                ..self.wish(tried)
+            };
             let known = self.gateway.site.known();
             known.fleet.pick(self.now(), &self.service, &wish)?
         };
@@ -252,6 +259,11 @@
         ))
     }
 
+    /// Returns whether its answer is lost for good if a connection breaks.
+    fn runs_once(&self) -> bool {
+        self.route.kind != Kind::Idempotent
+    }
+
     /// Returns whether a request that may have run `runs` times may run again.
     fn may_repeat(&self, runs: u32) -> bool {
         match self.route.kind {
@@ -269,7 +281,7 @@
         let Some(address) = server else {
             return Err(Failure::NotSent("the server is gone".to_owned()));
         };
-        let once = self.route.kind != Kind::Idempotent;
+        let once = self.runs_once();
         let meters = &self.gateway.meters;
         let taken = self.gateway.pool.take(self.now(), &lease.server, once);
         let source = taken
@@ -328,10 +340,12 @@
                 "the kept connection was closed".to_owned(),
             ));
         }
+        self.reach(Step::Sent);
         let sent = within(self.left(), sender.try_send_request(request)).await;
         match sent {
             None => Err(Failure::Late),
             Some(Ok(response)) => {
+                self.reach(Step::Head);
                 lease.sender = Some(sender);
                 Ok(response)
             }
@@ -355,6 +369,7 @@
             ));
         }
         if let Some(load) = answer.load {
+            self.steps.report(load);
             let mut known = self.gateway.site.known();
             known.fleet.report(self.now(), lease.key, load);
         }
@@ -399,6 +414,9 @@
     /// Returns the rank of the request among those of its server.
     fn urgency(&self) -> Option<u8> {
         let engine = matches!(self.route.kind, Kind::Stream { .. });
-        engine.then(|| 3 + self.route.priority.min(6))
+        let program = self.call.program.as_ref();
+        let remains = program.and_then(|program| program.remaining);
+        let remains = remains.map(|all| all.saturating_sub(self.now().since(self.start)));
+        engine.then(|| urgency::rank(self.route.priority, remains))
     }
 }
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -190,11 +190,18 @@
     }
 
     /// Notes that a request got an answer of the system's own.
-    pub fn refused(&self, attempt: &str, refusal: &Refusal, start: Time) {
+    pub fn refused(
+        &self,
+        attempt: &str,
+        program: Option<&str>,
+        refusal: &Refusal,
+        start: Time,
+    ) {
         let after = refusal.after.map_or(0, |after| after.as_millis());
         self.note(
             Note::new("refused")
                 .with("attempt", attempt)
+                .with("program", program.unwrap_or("none"))
                 .with("status", refusal.status.as_u16())
                 .with("why", &refusal.why)
                 .with("after_ms", after)
@@ -221,28 +228,35 @@
     pub fn answered(&self, job: &Job, server: &str, status: StatusCode, events: u64) {
         let time = self.clock.now().since(job.start);
         self.meters.request_time.observe(time.as_secs_f64());
-        self.note(
-            Note::new("answered")
-                .with("attempt", &job.call.attempt)
-                .with("route", &job.route.name)
-                .with("server", server)
-                .with("status", status.as_u16())
-                .with("events", events)
-                .with("waited_ms", self.waited(job.start)),
-        );
+        let note = self
+            .about(Note::new("answered"), job)
+            .with("server", server)
+            .with("status", status.as_u16())
+            .with("events", events);
+        self.note(note);
     }
 
     /// Notes that a stream was broken off.
     pub fn cut(&self, job: &Job, events: u64, why: &str) {
         self.meters.cut.inc();
-        self.note(
-            Note::new("cut")
-                .with("attempt", &job.call.attempt)
-                .with("route", &job.route.name)
-                .with("events", events)
-                .with("why", why)
-                .with("waited_ms", self.waited(job.start)),
-        );
+        let note = self
+            .about(Note::new("cut"), job)
+            .with("events", events)
+            .with("why", why);
+        self.note(note);
+    }
+
+    /// Adds what a line says of every request that was read.
+    fn about(&self, note: Note, job: &Job) -> Note {
+        let program = job.call.program.as_ref();
+        let remains = program.and_then(|program| program.remaining);
+        let note = note
+            .with("attempt", &job.call.attempt)
+            .with("program", program.map_or("none", |program| &*program.id))
+            .with("route", &job.route.name)
+            .with("remains_ms", remains.map_or(-1, |remains| remains.as_millis() as i64))
+            .with("waited_ms", self.waited(job.start));
+        job.steps.tell(note)
     }
 
     fn ready_answer(&self) -> Response<Body> {
@@ -256,21 +270,18 @@
 
     /// Notes the counts so far, for those who have only the log lines.
     fn summarise(&self) {
-        let mut note = Note::new("summary");
+        let mut sources = Vec::new();
         for family in self.meters.connections.collect() {
             for metric in family.get_metric() {
                 let source = metric
                     .get_label()
                     .first()
                     .map(|label| label.value().to_owned());
-                let pair = format!(
-                    "{}:{}",
-                    source.unwrap_or_default(),
-                    metric.get_counter().get_value()
-                );
-                note = note.with("connections", pair);
+                let count = metric.get_counter().get_value();
+                sources.push(format!("{}:{count}", source.unwrap_or_default()));
             }
         }
+        let note = Note::new("summary").with("connections", sources.join(","));
         self.note(note.with("held_bytes", self.held.bytes()));
     }
 
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod sockets;
 pub mod start;
 pub mod status;
+pub mod steps;
 pub mod store;
 pub mod timeout;
 pub mod turns;
--- a/net/src/pool.rs
+++ b/net/src/pool.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
+use limpetferry_lib::fleet::Connected;
 use limpetferry_lib::time::Time;
 
 use crate::http::HttpError;
@@ -80,6 +82,23 @@
     pub idle: Duration,
 }
 
+/// The servers to which there is an idle connection.
+pub struct Warm<'a> {
+    idle: MutexGuard<'a, HashMap<Arc<str>, Vec<Idle>>>,
+    now: Time,
+    longest: Duration,
+}
+
+impl Connected for Warm<'_> {
+    fn has(&self, server: &str) -> bool {
+        let last = self.idle.get(server).and_then(|list| list.last());
+        last.is_some_and(|last| {
+            let idle = self.now.since(last.since);
+            idle < last.keep.min(self.longest) && !last.sender.is_closed()
+        })
+    }
+}
+
 impl Pool {
     /// Takes the connection to a server that was used last, if it is fresh
     /// enough for a request that may run `once` only or more often.
@@ -116,6 +135,21 @@
         })
     }
 
+    /// Returns a view of the servers to which there is a connection that a
+    /// request may use, one that may run `once` only or more often.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn warm(&self, now: Time, once: bool) -> Warm<'_> {
+        let once_idle = self.once_idle(now);
+        Warm {
+            idle: self.idle.lock().expect("no panic while locked"),
+            now,
+            longest: if once { once_idle } else { Duration::MAX },
+        }
+    }
+
     /// Notes that a connection that was used again after `idle` broke off
     /// before its answer: most likely its server had dropped it.
     ///
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -36,6 +36,8 @@
 use crate::refusal::RETRY_UNKNOWN;
 use crate::refusal::Refusal;
 use crate::refusal::late;
+use crate::steps::Step;
+use crate::steps::Steps;
 use crate::timeout::within;
 use crate::turns::OpenTurn;
 use crate::turns::TurnRefusal;
@@ -68,6 +70,8 @@
     pub limit: Time,
     /// Its part of what the gateway holds.
     pub hold: Hold,
+    /// When it reached each step.
+    pub steps: Steps,
 }
 
 /// Answers a caller's request.
@@ -77,10 +81,18 @@
     let attempt = header::attempt(&head.headers).cloned();
     let id = attempt.as_ref().and_then(|value| value.to_str().ok());
     let id = id.unwrap_or("none").to_owned();
-    let mut response = match relay(&gateway, start, head, body).await {
+    let call = header::decode_call(&head.headers);
+    let call = call.map_err(|error| Refusal::new(StatusCode::BAD_REQUEST, error.to_string()));
+    let program = call.as_ref().ok().and_then(|call| call.program.as_ref());
+    let program = program.map(|program| program.id.clone());
+    let answer = match call {
+        Ok(call) => relay(&gateway, start, call, head, body).await,
+        Err(refusal) => Err(refusal),
+    };
+    let mut response = match answer {
         Ok(response) => response,
         Err(refusal) => {
-            gateway.refused(&id, &refusal, start);
+            gateway.refused(&id, program.as_deref(), &refusal, start);
             let mut response = refusal.answer();
             if let Some(attempt) = attempt {
                 header::set_attempt(response.headers_mut(), attempt);
@@ -104,11 +116,10 @@
 async fn relay(
     gateway: &Arc<Gateway>,
     start: Time,
+    call: Call,
     head: http::request::Parts,
     body: Incoming,
 ) -> Result<Response<Body>, Refusal> {
-    let call = header::decode_call(&head.headers)
-        .map_err(|error| Refusal::new(StatusCode::BAD_REQUEST, error.to_string()))?;
     let routing = gateway.site.known().routing.clone();
     let Some(routing) = routing else {
         return Err(Refusal::later(
@@ -125,6 +136,12 @@
             "no route has this host and path; see the routing document",
         ));
     };
+    let Some(service) = route.service(rand::random()).cloned() else {
+        return Err(Refusal::later(
+            RETRY_UNKNOWN,
+            "the route has no service; mend the routing document",
+        ));
+    };
     if let (Kind::Stream { .. }, Some(program)) = (route.kind, &call.program) {
         let first = call.previous.is_none();
         gateway.admit(program, first).map_err(|after| {
@@ -159,12 +176,6 @@
         ));
     };
     let body = read.map_err(unread)?;
-    let Some(service) = route.service(rand::random()).cloned() else {
-        return Err(Refusal::later(
-            RETRY_UNKNOWN,
-            "the route has no service; mend the routing document",
-        ));
-    };
     let mut job = Job {
         gateway: gateway.clone(),
         call,
@@ -177,7 +188,9 @@
         limit,
         route,
         hold,
+        steps: Steps::default(),
     };
+    job.reach(Step::Read);
     match job.route.kind {
         Kind::Stream { .. } => {
             let open = job.open_turn().await?;
@@ -212,6 +225,11 @@
         self.gateway.clock.now()
     }
 
+    /// Notes that the request reached a step.
+    pub fn reach(&self, step: Step) {
+        self.steps.reach(step, self.now().since(self.start));
+    }
+
     /// Returns the time that is left before the caller's last answer.
     pub fn left(&self) -> Duration {
         self.limit.since(self.now())
@@ -265,6 +283,7 @@
                 "too few keepers are within reach here; come back",
             ),
         })?;
+        self.reach(Step::Opened);
         if kept {
             self.body = open.prompt.clone();
         }
@@ -320,6 +339,7 @@
 
     /// Notes the time to the first event of a stream.
     pub fn observe_first_event(&self) {
+        self.reach(Step::First);
         let time = self.now().since(self.start);
         self.gateway.meters.first_event.observe(time.as_secs_f64());
     }
--- /dev/null
+++ b/net/src/steps.rs
@@ -0,0 +1,72 @@
+//! When a request reached each step of its way, for its line in the log.
+
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use limpetferry_lib::effect::Note;
+use limpetferry_lib::fleet::Load;
+
+/// Milliseconds from a request's first byte to each step; zero where it did
+/// not come to it.
+#[derive(Debug, Default)]
+pub struct Steps {
+    read: AtomicU32,
+    opened: AtomicU32,
+    sent: AtomicU32,
+    head: AtomicU32,
+    first: AtomicU32,
+    running: AtomicU32,
+    waiting: AtomicU32,
+}
+
+/// A step of a request's way.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// It was read whole.
+    Read,
+    /// Its keepers have noted its turn.
+    Opened,
+    /// It was sent to the server that answered.
+    Sent,
+    /// The head of the server's answer came.
+    Head,
+    /// The first event came and may go to the caller.
+    First,
+}
+
+impl Steps {
+    fn slot(&self, step: Step) -> &AtomicU32 {
+        match step {
+            Step::Read => &self.read,
+            Step::Opened => &self.opened,
+            Step::Sent => &self.sent,
+            Step::Head => &self.head,
+            Step::First => &self.first,
+        }
+    }
+
+    /// Notes that a step was reached `since` the request's first byte.
+    pub fn reach(&self, step: Step, since: Duration) {
+        let millis = u32::try_from(since.as_millis()).unwrap_or(u32::MAX);
+        self.slot(step).store(millis, Ordering::Relaxed);
+    }
+
+    /// Notes the load that the server reported with its answer.
+    pub fn report(&self, load: Load) {
+        self.running.store(load.running, Ordering::Relaxed);
+        self.waiting.store(load.waiting, Ordering::Relaxed);
+    }
+
+    /// Adds the steps to a line.
+    pub fn tell(&self, note: Note) -> Note {
+        let number = |slot: &AtomicU32| slot.load(Ordering::Relaxed);
+        note.with("read_ms", number(&self.read))
+            .with("opened_ms", number(&self.opened))
+            .with("sent_ms", number(&self.sent))
+            .with("head_ms", number(&self.head))
+            .with("first_ms", number(&self.first))
+            .with("running", number(&self.running))
+            .with("waiting", number(&self.waiting))
+    }
+}
