ctl: explain, from an id to its cause by collected logs

Cause: an operator with an id and the logs of thirty processes had to search by hand. Change: lib/src/explain.rs reads lines and finds what they show: cut gateways, keepers that were down, gateways behind their work, servers that crashed or lost one answer, the step in which a program waited longest and the longest time without a request.

--- a/ctl/src/main.rs
+++ b/ctl/src/main.rs
@@ -9,6 +9,7 @@
 mod api;
 mod config;
 mod drain;
+mod explain;
 mod settle;
 mod status;
 
@@ -36,6 +37,7 @@
     Programs,
     Drain(drain::DrainArgs),
     Settle(settle::SettleArgs),
+    Explain(explain::ExplainArgs),
     /// Prints completions for a shell.
     Completions {
         /// The shell.
@@ -58,6 +60,7 @@
         Command::Programs => status::cmd_programs(target),
         Command::Drain(args) => drain::cmd_drain(target, args),
         Command::Settle(args) => settle::cmd_settle(target, args),
+        Command::Explain(args) => explain::cmd_explain(args),
         Command::Completions { shell } => {
             let mut command = Args::command();
             clap_complete::generate(
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -18,6 +18,7 @@
 mod ending;
 pub mod entry;
 pub mod events;
+pub mod explain;
 pub mod fleet;
 pub mod front;
 mod guard;
--- /dev/null
+++ b/lib/tests/explain.rs
@@ -0,0 +1,137 @@
+//! From an id to its cause, by lines as the processes write them.
+
+use limpetferry_lib::explain::LogLine;
+use limpetferry_lib::explain::explain;
+
+fn lines(text: &str) -> Vec<LogLine> {
+    let lines = text.lines().map(str::trim).filter(|line| !line.is_empty());
+    lines
+        .map(|line| LogLine::parse(line).expect("a line"))
+        .collect()
+}
+
+fn cause(text: &str, id: &str) -> String {
+    explain(&lines(text), id).causes.join("; ")
+}
+
+#[test]
+fn quoted_values_and_what_a_collector_puts_before_are_read() {
+    let line = LogLine::parse(
+        r#"  12.5 edge-1 time=2026-10-18T01:02:03.500Z level=INFO node=edge-1 event=refused attempt=a1 why="it said \"no\" twice""#,
+    );
+    let line = line.expect("a line");
+
+    assert_eq!(line.time, 3_723.5);
+    assert_eq!(line.get("attempt"), "a1");
+    assert_eq!(line.get("why"), r#"it said "no" twice"#);
+}
+
+#[test]
+fn lines_of_others_are_passed_over() {
+    assert_eq!(LogLine::parse("thread 'main' panicked"), None);
+    assert_eq!(LogLine::parse("time=late event=refused"), None);
+    assert_eq!(LogLine::parse("time=2026-10-18T01:02:03Z level=INFO"), None);
+}
+
+#[test]
+fn a_turn_refused_by_a_gateway_that_was_cut_off_alone() {
+    let text = r#"
+        time=2026-10-18T10:00:00.000Z node=edge-1 event=keeper_lost keeper=keeper-1 why="no answer to a ping"
+        time=2026-10-18T10:00:00.100Z node=edge-1 event=keeper_lost keeper=keeper-2 why="no answer to a ping"
+        time=2026-10-18T10:00:00.300Z node=edge-1 event=refused attempt=a1 status=503 why="too few keepers are within reach here; come back"
+    "#;
+    assert_eq!(
+        cause(text, "a1"),
+        "edge-1 alone lost its links to keeper-1, keeper-2: its network was cut"
+    );
+}
+
+#[test]
+fn a_turn_refused_while_keepers_were_down() {
+    let text = r#"
+        time=2026-10-18T10:00:00.000Z node=edge-1 event=keeper_lost keeper=keeper-1 why=closed
+        time=2026-10-18T10:00:00.010Z node=edge-2 event=keeper_lost keeper=keeper-1 why=closed
+        time=2026-10-18T10:00:00.300Z node=edge-1 event=refused attempt=a1 status=503 why="too few keepers answer; come back"
+    "#;
+    let found = cause(text, "a1");
+    assert!(
+        found.contains("edge-1 and 1 more lost their links to keeper-1"),
+        "{found}"
+    );
+
+    let started = "time=2026-10-18T10:00:00.200Z node=keeper-1 event=started role=keeper\n";
+    let found = cause(&[text, started].concat(), "a1");
+    assert!(found.contains("started anew: keeper-1"), "{found}");
+}
+
+#[test]
+fn links_lost_long_before_are_no_cause() {
+    let text = r#"
+        time=2026-10-18T10:00:00.000Z node=edge-1 event=keeper_lost keeper=keeper-1 why=closed
+        time=2026-10-18T10:00:30.000Z node=edge-1 event=refused attempt=a1 status=503 why="too few keepers answer; come back"
+    "#;
+    let found = cause(text, "a1");
+    assert!(found.contains("had lost no link"), "{found}");
+}
+
+#[test]
+fn a_turn_refused_by_a_gateway_that_was_behind() {
+    let text = r#"
+        time=2026-10-18T10:00:00.000Z node=edge-1 event=behind timers_ms=3 answers_ms=96
+        time=2026-10-18T10:00:00.200Z node=edge-1 event=refused attempt=a1 status=503 why="more programs than this gateway can serve in time; come back"
+    "#;
+    assert_eq!(
+        cause(text, "a1"),
+        "edge-1 was behind its work: its timers 3 ms late, its keepers' answers 96 ms"
+    );
+}
+
+#[test]
+fn a_call_whose_server_crashed_and_one_whose_answer_was_lost() {
+    let failed = |attempt: &str, server: &str| {
+        format!(
+            r#"time=2026-10-18T10:00:00.000Z node=edge-1 event=attempt_failed attempt={attempt} server={server} why="Unknown(\"connection closed\")""#
+        )
+    };
+    let gone = "time=2026-10-18T10:00:01.000Z node=edge-2 event=server_gone server=i-1";
+    let text = [failed("a1", "i-1"), failed("a2", "i-2"), gone.to_owned()].join("\n");
+
+    let crashed = cause(&text, "a1");
+    let lost = cause(&text, "a2");
+
+    assert!(
+        crashed.contains("the server left the list then"),
+        "{crashed}"
+    );
+    assert!(lost.contains("one answer was lost"), "{lost}");
+}
+
+#[test]
+fn a_program_that_ran_out_of_time_names_its_slowest_step_and_its_gap() {
+    let text = r#"
+        time=2026-10-18T10:00:01.000Z node=edge-1 event=answered attempt=a1 program=p server=i-1 read_ms=1 opened_ms=10 sent_ms=12 head_ms=700 first_ms=701 waited_ms=900
+        time=2026-10-18T10:00:05.000Z node=edge-2 event=answered attempt=a2 program=p server=i-2 read_ms=0 opened_ms=20 sent_ms=22 head_ms=500 first_ms=501 waited_ms=600
+    "#;
+    let found = explain(&lines(text), "p");
+
+    assert_eq!(found.lines.len(), 2);
+    let causes = found.causes.join("; ");
+    assert!(
+        causes.contains("most of it for the server to begin (1166 ms)"),
+        "{causes}"
+    );
+    assert!(
+        causes.contains("the longest, attempt a1, took 900 ms"),
+        "{causes}"
+    );
+    assert!(causes.contains("for 3.4 s after attempt a1"), "{causes}");
+}
+
+#[test]
+fn an_id_that_no_line_names_has_no_lines_and_no_causes() {
+    let found = explain(
+        &lines("time=2026-10-18T10:00:01.000Z node=e event=answered attempt=a1"),
+        "b",
+    );
+    assert!(found.lines.is_empty() && found.causes.is_empty());
+}
