soak: gateways and keepers under faults from outside, checked by what callers and servers see

Wires can be cut, slowed and reset; keepers may advertise another address. Tests for ranks at engines and for servers with an idle connection.

--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use limpetferry_lib::call::Part;
+use limpetferry_lib::fleet::Connected;
 use limpetferry_lib::fleet::Fleet;
 use limpetferry_lib::fleet::LAPSE_WAIT;
 use limpetferry_lib::fleet::Load;
@@ -210,3 +211,39 @@
     assert_eq!(fleet.pick(Time::default(), "engine", &wish(0.0)), None);
     assert!(fleet.pick(Time::default(), "plain", &wish(0.0)).is_some());
 }
+
+/// Idle connections to servers with an even number.
+struct ToEven;
+
+impl Connected for ToEven {
+    fn has(&self, server: &str) -> bool {
+        let number = server
+            .rsplit('-')
+            .next()
+            .and_then(|number| number.parse::<u32>().ok());
+        number.is_some_and(|number| number.is_multiple_of(2))
+    }
+}
+
+#[test]
+fn of_servers_alike_one_with_an_idle_connection_is_taken_but_not_for_a_queue() {
+    let mut fleet = fleet(8);
+    let connected = Wish {
+        connected: Some(&ToEven),
+        centre: "nowhere",
+        ..wish(0.3)
+    };
+    for _ in 0..4 {
+        let key = fleet
+            .pick(Time::default(), "engine", &connected)
+            .expect("a server");
+        assert!(ToEven.has(&id(&fleet, key)), "{}", id(&fleet, key));
+        fleet.begin(key, &connected);
+    }
+
+    let next = fleet
+        .pick(Time::default(), "engine", &connected)
+        .expect("a server");
+
+    assert!(!ToEven.has(&id(&fleet, next)), "the others are free");
+}
--- /dev/null
+++ b/lib/tests/urgency.rs
@@ -0,0 +1,116 @@
+//! A burst at engines: 1.6 times as many programs as they have places for, for
+//! six seconds. The figures are those of the sheets: four turns of 0.3 s with
+//! as much between them, and a program may take 1.4 times that and 0.25 s.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use limpetferry_lib::urgency::rank;
+
+/// Requests that the engines run at once.
+const PLACES: usize = 40;
+/// Length of a turn, and of what a program does between two, in ms.
+const TURN: u64 = 300;
+/// Turns of a program.
+const TURNS: u64 = 4;
+/// What a program takes if it never waits, in ms.
+const IDLE: u64 = TURN * (2 * TURNS - 1);
+/// Time that a program may take, in ms.
+const AIM: u64 = IDLE * 14 / 10 + 250;
+/// Time between two programs in the burst and after it, in thousandths of a
+/// millisecond: the engines can do one each 30 ms.
+const BURST_EVERY: u64 = 18_700;
+const QUIET_EVERY: u64 = 45_000;
+const BURST_MS: u64 = 6_000;
+const END_MS: u64 = 20_000;
+
+/// Plays the burst, and returns the programs in time of those that began in it
+/// and of those that began after it, as parts of a hundred.
+fn play(rank: impl Fn(Duration) -> u8) -> (usize, usize) {
+    let born: Vec<u64> = births();
+    let mut waiting: BTreeMap<(u8, u64, usize), u64> = BTreeMap::new();
+    let mut running: BTreeMap<(u64, usize), u64> = BTreeMap::new();
+    let mut coming: BTreeMap<(u64, usize), u64> = BTreeMap::new();
+    coming.extend(born.iter().enumerate().map(|(id, &at)| ((at, id), 0)));
+    let mut in_time = vec![false; born.len()];
+    for now in 0..END_MS + 10 * IDLE {
+        while let Some((&(at, id), &turn)) = running.first_key_value()
+            && at <= now
+        {
+            running.pop_first();
+            if turn + 1 < TURNS {
+                coming.insert((now + TURN, id), turn + 1);
+            } else {
+                in_time[id] = now <= born[id] + AIM;
+            }
+        }
+        while let Some((&(at, id), &turn)) = coming.first_key_value()
+            && at <= now
+        {
+            coming.pop_first();
+            let left = Duration::from_millis((born[id] + AIM).saturating_sub(now));
+            waiting.insert((rank(left), now, id), turn);
+        }
+        while running.len() < PLACES
+            && let Some(((_, _, id), turn)) = waiting.pop_first()
+        {
+            running.insert((now + TURN, id), turn);
+        }
+    }
+    let share = |of: &dyn Fn(u64) -> bool| {
+        let those: Vec<bool> = born
+            .iter()
+            .zip(&in_time)
+            .filter(|(at, _)| of(**at))
+            .map(|(_, good)| *good)
+            .collect();
+        those.iter().filter(|good| **good).count() * 100 / those.len()
+    };
+    (share(&|at| at < BURST_MS), share(&|at| at >= BURST_MS))
+}
+
+fn births() -> Vec<u64> {
+    let mut at = 0;
+    let mut born = Vec::new();
+    while at < END_MS * 1_000 {
+        born.push(at / 1_000);
+        at += if at < BURST_MS * 1_000 {
+            BURST_EVERY
+        } else {
+            QUIET_EVERY
+        };
+    }
+    born
+}
+
+#[test]
+fn programs_after_a_burst_are_in_time_if_late_ones_come_last() {
+    let (burst, after) = play(|left| rank(0, Some(left)));
+    let (burst_alike, after_alike) = play(|_| 0);
+
+    println!("in the burst: {burst} of 100, {burst_alike} without ranks");
+    println!("after it: {after} of 100, {after_alike} without ranks");
+    assert!(after >= after_alike + 10, "{after} against {after_alike}");
+    assert!(burst >= burst_alike, "{burst} against {burst_alike}");
+}
+
+#[test]
+fn a_late_program_comes_after_all_that_are_in_time_and_priority_decides_among_each() {
+    let left = Some(Duration::from_millis(1));
+    let over = Some(Duration::ZERO);
+    let order = [
+        rank(0, left),
+        rank(1, left),
+        rank(9, left),
+        rank(0, over),
+        rank(1, over),
+        rank(9, over),
+    ];
+    assert!(order.is_sorted_by(|a, b| a < b), "{order:?}");
+    assert!(order[5] <= 9, "ranks end at 9");
+}
+
+#[test]
+fn a_request_of_no_program_is_in_time() {
+    assert_eq!(rank(1, None), rank(1, Some(Duration::MAX)));
+}
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -190,13 +190,7 @@
     }
 
     /// Notes that a request got an answer of the system's own.
-    pub fn refused(
-        &self,
-        attempt: &str,
-        program: Option<&str>,
-        refusal: &Refusal,
-        start: Time,
-    ) {
+    pub fn refused(&self, attempt: &str, program: Option<&str>, refusal: &Refusal, start: Time) {
         let after = refusal.after.map_or(0, |after| after.as_millis());
         self.note(
             Note::new("refused")
@@ -254,7 +248,10 @@
             .with("attempt", &job.call.attempt)
             .with("program", program.map_or("none", |program| &*program.id))
             .with("route", &job.route.name)
-            .with("remains_ms", remains.map_or(-1, |remains| remains.as_millis() as i64))
+            .with(
+                "remains_ms",
+                remains.map_or(-1, |remains| remains.as_millis() as i64),
+            )
             .with("waited_ms", self.waited(job.start));
         job.steps.tell(note)
     }
--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -23,6 +23,10 @@
     pub centre: String,
     /// Address for the system's other processes.
     pub peers: SocketAddr,
+    /// Address by which others reach `peers`, if it is another one, such as
+    /// behind a port that is mapped.
+    #[serde(default)]
+    pub advertised: Option<SocketAddr>,
     /// Address for metrics and health.
     pub metrics: SocketAddr,
     /// Key that all processes of the system share.
@@ -43,6 +47,11 @@
 }
 
 impl NodeSettings {
+    /// Returns the address by which others reach it.
+    pub fn reachable(&self) -> SocketAddr {
+        self.advertised.unwrap_or(self.peers)
+    }
+
     /// Returns the digest of the peers' key.
     pub fn key_digest(&self) -> Digest {
         Digest::of(self.key.as_bytes())
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -70,7 +70,7 @@
             keeper,
             replicas,
             store: settings.common.store,
-            address: settings.common.peers,
+            address: settings.common.reachable(),
             faults: settings.common.faults,
             copied: Mutex::default(),
             renewed: false.into(),
--- /dev/null
+++ b/testutils/src/bin/limpetferry-soak.rs
@@ -0,0 +1,45 @@
+//! Runs the soak with many seeds.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use clap::Parser;
+use limpetferry_testutils::soak;
+
+/// Runs gateways and keepers under faults, and checks what callers and servers
+/// saw. Exits with 1 if a promise did not hold.
+#[derive(Parser)]
+#[command(version)]
+struct Args {
+    /// First seed.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Number of seeds.
+    #[arg(long, default_value_t = 10)]
+    seeds: u64,
+    /// Seconds of faults in each run.
+    #[arg(long, default_value_t = 8)]
+    seconds: u64,
+}
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    let length = Duration::from_secs(args.seconds);
+    let mut failed = 0;
+    for seed in args.seed..args.seed + args.seeds {
+        match smol::block_on(soak::run(seed, length)) {
+            Ok(seen) => println!(
+                "seed={seed} held attempts={} answered={} faults={}",
+                seen.attempts, seen.answered, seen.faults
+            ),
+            Err(broken) => {
+                failed += 1;
+                for what in broken.iter().take(10) {
+                    println!("seed={seed} BROKEN {what}");
+                }
+            }
+        }
+    }
+    println!("seeds={} broken={failed}", args.seeds);
+    ExitCode::from(u8::from(failed > 0))
+}
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod process;
 pub mod service;
 pub mod site;
+pub mod soak;
+mod soak_caller;
 pub mod store;
 pub mod vms;
 pub mod wire;
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -31,6 +31,7 @@
 use crate::platform_server::StandInServer;
 use crate::platform_store::StandInPlatform;
 use crate::process::Process;
+use crate::wire::Wire;
 
 /// Key of the system's processes in tests.
 const KEY: &str = "a key for the tests of a site";
@@ -43,6 +44,17 @@
 /// Longest wait for an answer.
 const ANSWER_WAIT: Duration = Duration::from_secs(15);
 
+/// Wires through which the processes of a site reach each other.
+#[derive(Default)]
+pub struct Wires {
+    /// To the platform's store.
+    pub store: Vec<Wire>,
+    /// To each keeper.
+    pub keepers: Vec<Wire>,
+    /// To each server, engines first.
+    pub servers: Vec<Wire>,
+}
+
 /// A site under test.
 pub struct PlatformSite {
     /// The platform's store.
@@ -55,6 +67,9 @@
     gateways: Vec<GatewaySettings>,
     keepers: Vec<KeeperSettings>,
     folder: Folder,
+    /// Between the processes, if they are to be disturbed.
+    pub wires: Wires,
+    wired: bool,
     /// Keeps the store's listener open.
     _store_open: async_channel::Sender<()>,
     attempts: std::sync::atomic::AtomicU64,
@@ -122,6 +137,20 @@
     ///
     /// Panics if it does not serve in time.
     pub async fn start(gateways: usize, keepers: usize, faults: usize) -> Self {
+        Self::begin(gateways, keepers, faults, false).await
+    }
+
+    /// Starts a site whose processes reach each other through wires, and waits
+    /// until all gateways serve.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not serve in time.
+    pub async fn start_wired(gateways: usize, keepers: usize, faults: usize) -> Self {
+        Self::begin(gateways, keepers, faults, true).await
+    }
+
+    async fn begin(gateways: usize, keepers: usize, faults: usize, wired: bool) -> Self {
         let store = StandInPlatform::default();
         let (at, stop) = listen(any_port(), store.handler()).await;
         let mut site = Self {
@@ -132,15 +161,23 @@
             gateways: Vec::new(),
             keepers: Vec::new(),
             folder: Folder::default(),
+            wires: Wires::default(),
+            wired,
             _store_open: stop,
             attempts: 0.into(),
         };
         site.store.put("op/config", &routing(1));
+        let mut at = at;
+        if wired {
+            let wire = Wire::to(at).await;
+            at = wire.address();
+            site.wires.store.push(wire);
+        }
         for _ in 0..2 {
             site.add_engine().await;
             site.add_plain().await;
         }
-        site.add_keepers(at, keepers, faults);
+        site.add_keepers(at, keepers, faults).await;
         site.add_gateways(at, gateways, faults);
         site.wait_ready().await;
         site
@@ -151,13 +188,14 @@
             node: node.to_owned(),
             centre: "here".to_owned(),
             peers: free(),
+            advertised: None,
             metrics: free(),
             key: KEY.to_owned(),
             store,
             seeds: self
                 .keepers
                 .iter()
-                .map(|keeper| keeper.common.peers)
+                .map(|keeper| keeper.common.reachable())
                 .collect(),
             faults,
             stop_ms: 6_000,
@@ -165,13 +203,19 @@
         }
     }
 
-    fn add_keepers(&mut self, store: SocketAddr, count: usize, faults: usize) {
+    async fn add_keepers(&mut self, store: SocketAddr, count: usize, faults: usize) {
         for number in 0..count {
             let node = format!("keeper-{number}");
             let folder = self.folder.join(&node);
             std::fs::create_dir_all(&folder).expect("the temporary folder can be written");
+            let mut common = self.common(&node, store, faults);
+            if self.wired {
+                let wire = Wire::to(common.peers).await;
+                common.advertised = Some(wire.address());
+                self.wires.keepers.push(wire);
+            }
             self.keepers.push(KeeperSettings {
-                common: self.common(&node, store, faults),
+                common,
                 data: DataSettings { folder, most: 100 },
                 first: true,
             });
@@ -231,6 +275,40 @@
         self.processes.remove(node).expect("a process of the site")
     }
 
+    /// Returns the names of the processes that have ended.
+    pub fn ended(&mut self) -> Vec<String> {
+        let ended = self
+            .processes
+            .iter_mut()
+            .filter_map(|(node, process)| process.has_ended().then(|| node.clone()));
+        ended.collect()
+    }
+
+    /// Puts bytes at the end of a keeper's last file, as a write that was torn
+    /// by a loss of power.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the folder cannot be written.
+    pub fn tear(&self, number: usize, bytes: &[u8]) {
+        let folder = std::fs::read_dir(&self.keepers[number].data.folder);
+        let files = folder.expect("the folder is there").flatten();
+        let files = files.map(|entry| entry.path());
+        let last = files
+            .filter(|path| path.extension().is_some_and(|end| end == "turns"))
+            .max();
+        if let Some(last) = last {
+            let file = std::fs::OpenOptions::new().append(true).open(last);
+            let mut file = file.expect("the file can be written");
+            std::io::Write::write_all(&mut file, bytes).expect("the file can be written");
+        }
+    }
+
+    /// Returns the address where a gateway takes callers.
+    pub fn callers(&self, number: usize) -> String {
+        self.gateways[number].callers.to_string()
+    }
+
     /// Empties the disk of a keeper that does not run.
     ///
     /// # Panics
@@ -258,8 +336,13 @@
         self.plain.push(server);
     }
 
-    async fn register(&self, server: &StandInServer, service: &str, id: &str) {
-        let address = server.start().await;
+    async fn register(&mut self, server: &StandInServer, service: &str, id: &str) {
+        let mut address = server.start().await;
+        if self.wired {
+            let wire = Wire::to(address).await;
+            address = wire.address();
+            self.wires.servers.push(wire);
+        }
         let entry = json!({"Service": service, "Address": address.to_string(), "Zone": "here",
                            "Slots": 8, "State": "ready", "Seq": 1});
         self.store.put(&format!("servers/{id}"), &entry);
--- a/testutils/src/wire.rs
+++ b/testutils/src/wire.rs
@@ -1,10 +1,14 @@
 //! A wire between two processes: passes bytes on, until a test makes the
-//! connections that it carries silent, while new ones work.
+//! connections that it carries silent, slow or broken.
 
+use std::net::Shutdown;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use futures_lite::AsyncReadExt as _;
 use futures_lite::AsyncWriteExt as _;
@@ -35,6 +39,12 @@
     mute_forth: AtomicU64,
     /// Connections below this number lose what the other end sends.
     mute_back: AtomicU64,
+    /// Whether new connections are silent too, as on a network that is cut.
+    cut: AtomicBool,
+    /// Milliseconds that each piece takes longer.
+    delay: AtomicU64,
+    /// Both ends of the connections that may still be open.
+    open: Mutex<Vec<TcpStream>>,
 }
 
 /// A wire to one address.
@@ -80,6 +90,32 @@
             self.shared.mute_back.store(made, Ordering::SeqCst);
         }
     }
+
+    /// Cuts the wire, or mends it: connections of that time stay silent for
+    /// good, new ones work once it is mended.
+    pub fn set_cut(&self, cut: bool) {
+        self.shared.cut.store(cut, Ordering::SeqCst);
+        self.silence(Way::Both);
+    }
+
+    /// Has each piece take so much longer from now on.
+    pub fn set_delay(&self, delay: Duration) {
+        let millis = delay.as_millis() as u64;
+        self.shared.delay.store(millis, Ordering::SeqCst);
+    }
+
+    /// Breaks all connections that there are.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn reset(&self) {
+        let mut open = self.shared.open.lock().expect("no panic while locked");
+        for stream in open.drain(..) {
+            // It may have ended by itself.
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
 }
 
 async fn take(listener: TcpListener, to: SocketAddr, shared: Arc<Shared>) {
@@ -88,18 +124,26 @@
             return;
         };
         let number = shared.made.fetch_add(1, Ordering::SeqCst);
+        if shared.cut.load(Ordering::SeqCst) {
+            shared.mute_forth.fetch_max(number + 1, Ordering::SeqCst);
+            shared.mute_back.fetch_max(number + 1, Ordering::SeqCst);
+        }
         let Ok(far) = TcpStream::connect(to).await else {
             continue;
         };
+        let mut open = shared.open.lock().expect("no panic while locked");
+        open.retain(|stream| stream.peer_addr().is_ok());
+        open.extend([near.clone(), far.clone()]);
+        drop(open);
         let forth = {
-            let (shared, near, far) = (shared.clone(), near.clone(), far.clone());
-            pass(near, far, move || {
+            let shared = shared.clone();
+            pass(near.clone(), far.clone(), shared.clone(), move || {
                 shared.mute_forth.load(Ordering::SeqCst) > number
             })
         };
         let back = {
             let shared = shared.clone();
-            pass(far, near, move || {
+            pass(far, near, shared.clone(), move || {
                 shared.mute_back.load(Ordering::SeqCst) > number
             })
         };
@@ -110,10 +154,19 @@
 
 /// Passes bytes on; what comes while `is_mute` holds is lost, and so is the
 /// end of the stream.
-async fn pass(mut from: TcpStream, mut to: TcpStream, is_mute: impl Fn() -> bool) {
+async fn pass(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    shared: Arc<Shared>,
+    is_mute: impl Fn() -> bool,
+) {
     let mut bytes = vec![0; PIECE];
     loop {
         let size = from.read(&mut bytes).await.unwrap_or(0);
+        let delay = shared.delay.load(Ordering::SeqCst);
+        if delay > 0 {
+            smol::Timer::after(Duration::from_millis(delay)).await;
+        }
         if is_mute() {
             if size == 0 {
                 return;
@@ -121,8 +174,8 @@
             continue;
         }
         if size == 0 || to.write_all(&bytes[..size]).await.is_err() {
-            let _ = to.shutdown(std::net::Shutdown::Both);
-            let _ = from.shutdown(std::net::Shutdown::Both);
+            let _ = to.shutdown(Shutdown::Both);
+            let _ = from.shutdown(Shutdown::Both);
             return;
         }
     }
