--- a/gateway/tests/check.rs
+++ b/gateway/tests/check.rs
@@ -1,6 +1,7 @@
 //! The program checks its settings before it does anything.
 
-use limpetferry_testutils::check::check;
+use limpetferry_testutils::check::assert_faultless;
+use limpetferry_testutils::check::assert_faults;
 use limpetferry_testutils::check::example;
 use serde_json::Value;
 use serde_json::json;
@@ -13,9 +14,7 @@
 
 #[test]
 fn the_example_has_no_faults() {
-    let output = check(PROGRAM, &settings());
-
-    assert!(output.status.success(), "{output:?}");
+    assert_faultless(PROGRAM, &settings());
 }
 
 #[test]
@@ -25,17 +24,12 @@
     settings["common"]["node"] = json!("two words");
     settings["common"]["stop_ms"] = json!(0);
 
-    let output = check(PROGRAM, &settings);
-
-    let text = String::from_utf8_lossy(&output.stderr).into_owned();
-    assert_eq!(output.status.code(), Some(1));
-    for fault in [
+    let faults = [
         "common.key: give at least 16",
         "common.node: give 1 to 64",
         "common.stop_ms: give a number above zero",
-    ] {
-        assert!(text.contains(fault), "no {fault:?} in {text}");
-    }
+    ];
+    assert_faults(PROGRAM, &settings, &faults);
 }
 
 #[test]
@@ -43,8 +37,5 @@
     let mut settings = settings();
     settings["colour"] = json!("blue");
 
-    let output = check(PROGRAM, &settings);
-
-    assert_eq!(output.status.code(), Some(1));
-    assert!(String::from_utf8_lossy(&output.stderr).contains("colour"));
+    assert_faults(PROGRAM, &settings, &["colour"]);
 }
--- a/testutils/src/check.rs
+++ b/testutils/src/check.rs
@@ -38,3 +38,29 @@
     let _ = std::fs::remove_file(&file);
     output.expect("the program starts")
 }
+
+/// Asserts that `program` finds no fault in `settings`.
+///
+/// # Panics
+///
+/// Panics if it finds one, or cannot be started.
+pub fn assert_faultless(program: &str, settings: &Value) {
+    let output = check(program, settings);
+
+    assert!(output.status.success(), "{output:?}");
+}
+
+/// Asserts that `program` refuses `settings` and lists these faults.
+///
+/// # Panics
+///
+/// Panics if it does not, or cannot be started.
+pub fn assert_faults(program: &str, settings: &Value, faults: &[&str]) {
+    let output = check(program, settings);
+
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(1), "{text}");
+    for fault in faults {
+        assert!(text.contains(fault), "no {fault:?} in {text}");
+    }
+}
