soak: a wiped keeper is not waited for while other faults last

Trace: keeper-2 had lost its disk and copied from keepers 0 and 1; keeper-3 was frozen, and the soak itself did not let it go on while it waited. One disk and one more keeper gone is more than the one loss that the site bears, so that the keeper has to wait for it: the product was right, the soak was not. Change: the wait does not hold other faults up; another disk is lost only once the first keeper counts again. A run that fails tells what was done and when.

--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -420,17 +420,10 @@
     }
 
     /// Returns whether a gateway takes callers.
-    ///
-    /// # Panics
-    ///
-    /// Panics if its address cannot stand in a request, which none does.
     pub async fn is_ready(&self, number: usize) -> bool {
         let address = self.gateways[number].ready.to_string();
-        let request = Request::get("/api/readyz").header("host", &address);
-        let request = request
-            .body(Full::default())
-            .expect("a constant request is valid");
-        matches!(self.exchange(&address, request).await, Ok(answer) if answer.status == 200)
+        let answer = self.get(&address, "/api/readyz").await;
+        answer.is_ok_and(|answer| answer.status == 200)
     }
 
     /// Waits until `done` is true of what it is told.
@@ -552,22 +545,34 @@
         String::from_utf8_lossy(&answer[..size]).into_owned()
     }
 
+    /// Returns whether a process shows this value of a metric.
+    async fn shows(&self, metrics: SocketAddr, name: &str, value: u64) -> bool {
+        let line = format!("limpetferry_{name} {value}");
+        let answer = self.get(&metrics.to_string(), "/metrics").await;
+        answer.is_ok_and(|answer| answer.text().lines().any(|shown| shown == line))
+    }
+
+    async fn get(&self, address: &str, path: &str) -> Result<Answer, HttpError> {
+        let request = Request::get(path).header("host", address);
+        let request = request.body(Full::default());
+        let request = request.expect("an address and a path are valid");
+        self.exchange(address, request).await
+    }
+
+    /// Returns whether a keeper has all that was ever acknowledged.
+    pub async fn is_whole(&self, keeper: usize) -> bool {
+        let metrics = self.keepers[keeper].common.metrics;
+        self.shows(metrics, "whole", 1).await
+    }
+
     /// Waits until a gateway's metric has a value.
     ///
     /// # Panics
     ///
     /// Panics if that does not come about in time.
     async fn wait_for(&self, metrics: SocketAddr, name: &str, value: u64) {
-        let address = metrics.to_string();
-        let line = format!("limpetferry_{name} {value}");
         let wait = async {
-            loop {
-                let request = Request::get("/metrics").header("host", &address);
-                let request = request.body(Full::default()).expect("a valid request");
-                let answer = self.exchange(&address, request).await;
-                if answer.is_ok_and(|answer| answer.text().lines().any(|l| l == line)) {
-                    return;
-                }
+            while !self.shows(metrics, name, value).await {
                 smol::Timer::after(LOOK).await;
             }
         };
--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -120,6 +120,11 @@
     version: u64,
     /// What has to be undone, and when: the later faults of the same kind wait.
     undo: Vec<(u64, Fault)>,
+    /// The keeper that lost its disk last: another one may lose its own only
+    /// once it has copied.
+    wiped: Option<usize>,
+    /// What was done, and when, for a run that fails.
+    trace: Vec<String>,
 }
 
 impl Ground {
@@ -136,6 +141,20 @@
         self.undo.iter().any(|(_, other)| busy(other))
     }
 
+    /// Returns whether a fault leaves enough disks: only one may be lost before
+    /// its keeper has copied again.
+    async fn may_wipe(&mut self, fault: Fault) -> bool {
+        if !matches!(fault, Fault::WipeKeeper(_)) {
+            return true;
+        }
+        if let Some(number) = self.wiped
+            && self.site.is_whole(number).await
+        {
+            self.wiped = None;
+        }
+        self.wiped.is_none()
+    }
+
     async fn inject(&mut self, fault: Fault, random: &mut SmallRng) {
         let site = &mut self.site;
         match fault {
@@ -192,9 +211,7 @@
             Fault::WipeKeeper(number) => {
                 site.wipe(number);
                 site.start_keeper(number);
-                // Another disk may be lost only once this one is copied.
-                site.wires.store[0].set_cut(false);
-                site.wait_for_whole(number).await;
+                self.wiped = Some(number);
             }
             Fault::TearKeeper(number) => {
                 let size = random.random_range(1..200);
@@ -264,6 +281,8 @@
         site,
         version: 1,
         undo: Vec::new(),
+        wiped: None,
+        trace: Vec::new(),
     };
     let faults = disturb(&mut ground, length, &mut random).await;
     let mut broken = Vec::new();
@@ -288,6 +307,7 @@
             faults,
         })
     } else {
+        broken.extend(ground.trace);
         Err(broken)
     }
 }
@@ -298,7 +318,8 @@
     let (mut now, mut count) = (0, 0);
     while now < length {
         let fault = draw(random);
-        if !ground.is_busy(fault) {
+        if !ground.is_busy(fault) && ground.may_wipe(fault).await {
+            ground.trace.push(format!("{now} ms: {fault:?}"));
             ground.inject(fault, random).await;
             let lasts = random.random_range(50..LONGEST_FAULT);
             ground.undo.push((now + lasts, fault));
@@ -310,6 +331,7 @@
         let (due, later) = ground.undo.drain(..).partition(|(at, _)| *at <= now);
         ground.undo = later;
         for (_, fault) in due {
+            ground.trace.push(format!("{now} ms: over: {fault:?}"));
             ground.undo(fault, random).await;
         }
     }
