--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -33,6 +33,9 @@
 const LONGEST_FAULT: u64 = 1_500;
 /// Longest pause between two faults, so that some overlap.
 const LONGEST_PAUSE: u64 = 700;
+/// Requests in a row that a server treats badly: enough that callers of each
+/// kind meet one.
+const BEHAVES: usize = 5;
 /// Longest time after the last fault until everything is served again: links
 /// are dialled anew within a second, and a keeper that is back copies.
 const RECOVERY: Duration = Duration::from_secs(20);
@@ -89,7 +92,7 @@
         Behaviour::Unsigned,
         Behaviour::Crossed,
     ];
-    match random.random_range(0..21) {
+    match random.random_range(0..28) {
         0 => Fault::KillGateway(gateway),
         1 => Fault::StopGateway(gateway),
         2 => Fault::FreezeGateway(gateway),
@@ -186,7 +189,7 @@
             Fault::SlowServer(number) => slow(&site.wires.servers[number], random),
             Fault::Behave(number, behaviour) => {
                 let all = [&site.engines[..], &site.plain].concat();
-                all[number].behave([behaviour]);
+                all[number].behave([behaviour; BEHAVES]);
             }
             Fault::Routing => {
                 self.version += 1;
