--- a/lib/src/ask.rs
+++ b/lib/src/ask.rs
@@ -14,7 +14,6 @@
 use crate::ledger::Record;
 use crate::membership::Membership;
 use crate::opening::View;
-use crate::text::Text;
 
 /// Matches answers to what was asked, on one link.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -186,24 +185,3 @@
     /// An answer to one; a question may have two.
     Tell(Ticket, Reply),
 }
-
-impl KeeperMessage {
-    /// Returns its texts that may have shared pieces, always in the same
-    /// order.
-    pub fn texts(&mut self) -> Vec<&mut Text> {
-        match self {
-            Self::Ask(_, Question::Note { begin, .. }) => vec![&mut begin.input],
-            Self::Ask(_, Question::End { begin, .. }) => {
-                let begin = begin.as_mut();
-                begin.map(|begin| &mut begin.input).into_iter().collect()
-            }
-            Self::Tell(_, Reply::Noted { chain: links, .. } | Reply::Chain { links, .. }) => {
-                links.iter_mut().map(|link| &mut link.text).collect()
-            }
-            Self::Tell(_, Reply::Records { records, .. }) => {
-                records.iter_mut().filter_map(Record::text).collect()
-            }
-            Self::Ask(..) | Self::Tell(..) => Vec::new(),
-        }
-    }
-}
--- a/lib/src/chains.rs
+++ b/lib/src/chains.rs
@@ -8,7 +8,6 @@
 use bytes::BytesMut;
 
 use crate::ledger::Link;
-use crate::text::Text;
 
 /// A bounded store of turns; the older half goes when the younger is full.
 #[derive(Clone, Debug)]
@@ -71,9 +70,13 @@
     /// # Errors
     ///
     /// Returns the id of the turn that is not here.
-    pub fn prompt(&mut self, previous: Option<&Arc<str>>, input: &Text) -> Result<Bytes, Arc<str>> {
+    pub fn prompt(
+        &mut self,
+        previous: Option<&Arc<str>>,
+        input: &Bytes,
+    ) -> Result<Bytes, Arc<str>> {
         if previous.is_none() {
-            return Ok(input.bytes());
+            return Ok(input.clone());
         }
         let mut texts = Vec::new();
         let mut next = previous.cloned();
@@ -82,12 +85,12 @@
             next = link.previous;
             texts.push(link.text);
         }
-        let history: usize = texts.iter().map(Text::len).sum();
+        let history: usize = texts.iter().map(Bytes::len).sum();
         let mut whole = BytesMut::with_capacity(history + input.len());
         for text in texts.iter().rev() {
-            text.append_to(&mut whole);
+            whole.extend_from_slice(text);
         }
-        input.append_to(&mut whole);
+        whole.extend_from_slice(input);
         Ok(whole.freeze())
     }
 }
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -11,8 +11,6 @@
 use serde::Serialize;
 
 use crate::hash;
-use crate::text::Pieces;
-use crate::text::Text;
 use crate::time::Time;
 
 /// A turn that is about to run.
@@ -25,7 +23,7 @@
     /// The turn that it continues from.
     pub previous: Option<Arc<str>>,
     /// What the caller sent anew; empty where no history is kept.
-    pub input: Text,
+    pub input: Bytes,
     /// Most tokens that it may hand out.
     pub most: u64,
 }
@@ -64,14 +62,6 @@
         }
     }
 
-    /// Returns its text, if it is one that may have shared pieces.
-    pub fn text(&mut self) -> Option<&mut Text> {
-        match self {
-            Self::Begin(begin) => Some(&mut begin.input),
-            Self::Finish(_) => None,
-        }
-    }
-
     /// Returns the bytes of its texts, for bounds on memory.
     pub fn size(&self) -> usize {
         match self {
@@ -100,7 +90,7 @@
     /// The turn before.
     pub previous: Option<Arc<str>>,
     /// Its input, then its output.
-    pub text: Text,
+    pub text: Bytes,
 }
 
 /// Whether a keeper has a turn.
@@ -142,7 +132,7 @@
         Some(Link {
             turn: begin.turn.clone(),
             previous: begin.previous.clone(),
-            text: begin.input.then(&finish.output),
+            text: [&begin.input[..], &finish.output[..]].concat().into(),
         })
     }
 }
@@ -158,7 +148,6 @@
 pub struct Ledger {
     turns: HashMap<Arc<str>, Turn>,
     programs: HashMap<Arc<str>, ProgramTurns>,
-    pieces: Pieces,
     bytes: usize,
 }
 
@@ -171,6 +160,7 @@
             Record::Finish(finish) => finish.turn.clone(),
         };
         let name = record.program().clone();
+        let size = record.size();
         let program = self.programs.entry(name.clone()).or_insert(ProgramTurns {
             turns: Vec::new(),
             active: now,
@@ -184,19 +174,14 @@
                 finish: None,
             }
         });
-        match record {
-            Record::Begin(mut begin) if turn.begin.is_none() => {
-                self.bytes += self.pieces.hold(&mut begin.input);
-                turn.begin = Some(begin);
-                true
-            }
-            Record::Finish(finish) if turn.finish.is_none() => {
-                self.bytes += finish.output.len();
-                turn.finish = Some(finish);
-                true
-            }
-            _ => false,
+        let new = match record {
+            Record::Begin(begin) => fill(&mut turn.begin, begin),
+            Record::Finish(finish) => fill(&mut turn.finish, finish),
+        };
+        if new {
+            self.bytes += size;
         }
+        new
     }
 
     /// Returns what each turn of a program counts against its budget, but for
@@ -279,8 +264,7 @@
             let Some(turn) = self.turns.remove(&id) else {
                 continue;
             };
-            let input = turn.begin.map(|begin| begin.input);
-            self.bytes -= input.map_or(0, |input| self.pieces.release(&input));
+            self.bytes -= turn.begin.map_or(0, |begin| begin.input.len());
             self.bytes -= turn.finish.map_or(0, |finish| finish.output.len());
         }
     }
@@ -333,7 +317,7 @@
         (digests.collect(), more)
     }
 
-    /// Returns the bytes of all texts, shared pieces once.
+    /// Returns the bytes of all texts.
     pub fn bytes(&self) -> usize {
         self.bytes
     }
@@ -348,3 +332,9 @@
         self.turns.is_empty()
     }
 }
+
+fn fill<T>(slot: &mut Option<T>, value: T) -> bool {
+    let new = slot.is_none();
+    slot.get_or_insert(value);
+    new
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -50,7 +50,6 @@
 pub mod sse;
 mod submission;
 mod takeover;
-pub mod text;
 pub mod time;
 mod turn;
 pub mod urgency;
--- a/lib/tests/turn_world/mod.rs
+++ b/lib/tests/turn_world/mod.rs
@@ -19,7 +19,6 @@
 use limpetferry_lib::opening::Step;
 use limpetferry_lib::opening::Verdict;
 use limpetferry_lib::opening::View;
-use limpetferry_lib::text::Text;
 use limpetferry_lib::time::Time;
 
 /// Turns after which a new program comes, as the budget of the one before is
@@ -287,7 +286,7 @@
             turn: format!("turn-{id}").into(),
             program: format!("program-{}", id / PROGRAM_TURNS).into(),
             previous: None,
-            input: Text::default(),
+            input: Bytes::new(),
             most: if most.is_multiple_of(4) {
                 EVENT
             } else {
--- a/net/src/peer.rs
+++ b/net/src/peer.rs
@@ -23,9 +23,6 @@
 use limpetferry_lib::id::Digest;
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::message::Message;
-use limpetferry_lib::text::Received;
-use limpetferry_lib::text::Sent;
-use limpetferry_lib::text::Text;
 use serde::Deserialize;
 use serde::Serialize;
 use smol::net::TcpStream;
@@ -99,12 +96,6 @@
     /// Returns whether somebody waits for what it asks or says, so that a
     /// silent link has to be found soon.
     fn is_work(&self) -> bool;
-
-    /// Returns its texts whose pieces the other end may have from earlier
-    /// messages, always in the same order.
-    fn texts(&mut self) -> Vec<&mut Text> {
-        Vec::new()
-    }
 }
 
 impl Wire for Message {
@@ -117,10 +108,6 @@
     fn is_work(&self) -> bool {
         true
     }
-
-    fn texts(&mut self) -> Vec<&mut Text> {
-        self.texts()
-    }
 }
 
 /// A link that has said hello.
@@ -247,9 +234,12 @@
                 .unwrap_or(LinkError::Closed)
         };
         let reading = async {
-            let mut received = Received::default();
             loop {
-                match read(&mut recv, &mut received).await {
+                match recv
+                    .next()
+                    .await
+                    .and_then(|frame| frame.map(|frame| decode::<M>(&frame)).transpose())
+                {
                     Ok(Some(message)) => {
                         let _ = incoming.send(wrap(message)).await;
                     }
@@ -288,43 +278,22 @@
     }
 }
 
-/// Returns the next message with its texts whole; `None` at the end.
-async fn read<M: Wire>(
-    recv: &mut FrameReader,
-    received: &mut Received,
-) -> Result<Option<M>, LinkError> {
-    let Some(frame) = recv.next().await? else {
-        return Ok(None);
-    };
-    let mut message: M = decode(&frame)?;
-    for text in message.texts() {
-        let filled = received.fill(text);
-        filled.map_err(|error| LinkError::Frame(error.to_string()))?;
-    }
-    Ok(Some(message))
-}
-
 async fn write_all<M: Wire>(
     send: &mut SendStream<Bytes>,
     outgoing: &async_channel::Receiver<M>,
     work: &AtomicU64,
 ) -> Result<(), LinkError> {
-    let mut sent = Sent::default();
     while let Ok(message) = outgoing.recv().await {
         if message.is_work() {
             work.fetch_add(1, Ordering::Relaxed);
         }
         let mut batch = BytesMut::new();
-        let mut next = Some(message);
-        while let Some(mut message) = next.take() {
-            message
-                .texts()
-                .into_iter()
-                .for_each(|text| sent.shorten(text));
+        append(&mut batch, &message)?;
+        while batch.len() < BATCH {
+            let Ok(message) = outgoing.try_recv() else {
+                break;
+            };
             append(&mut batch, &message)?;
-            if batch.len() < BATCH {
-                next = outgoing.try_recv().ok();
-            }
         }
         write(send, batch.freeze()).await?;
     }
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -18,7 +18,6 @@
 use limpetferry_lib::ledger::Begin;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::routing::Route;
-use limpetferry_lib::text::Text;
 use limpetferry_lib::time::Time;
 use limpetferry_platform::header;
 
@@ -256,9 +255,9 @@
             program: program.id.clone(),
             previous: self.call.previous.clone().filter(|_| kept),
             input: if kept {
-                Text::cut(self.body.clone())
+                self.body.clone()
             } else {
-                Text::default()
+                Bytes::new()
             },
             most: self.call.most_tokens,
         };
--- a/net/src/segments.rs
+++ b/net/src/segments.rs
@@ -14,8 +14,6 @@
 
 use limpetferry_lib::ask::Snapshot;
 use limpetferry_lib::ledger::Record;
-use limpetferry_lib::text::Received;
-use limpetferry_lib::text::Sent;
 use thiserror::Error;
 
 use crate::frames;
@@ -67,8 +65,6 @@
     most: u64,
     file: File,
     current: Segment,
-    /// Pieces of texts that the current file has.
-    sent: Sent,
     older: Vec<Segment>,
 }
 
@@ -102,7 +98,6 @@
             most,
             file,
             current,
-            sent: Sent::default(),
             older,
         };
         Ok((segments, found))
@@ -114,21 +109,17 @@
     ///
     /// Returns a [`SegmentError`] if they cannot be written.
     pub fn append(&mut self, records: &[Record]) -> Result<(), SegmentError> {
-        if self.current.bytes >= SEGMENT_BYTES {
-            self.rotate()?;
-        }
         let mut batch = Vec::new();
         for record in records {
-            let mut record = record.clone();
-            if let Some(text) = record.text() {
-                self.sent.shorten(text);
-            }
-            frames::append(&record, &mut batch).map_err(SegmentError::Record)?;
+            frames::append(record, &mut batch).map_err(SegmentError::Record)?;
         }
         let whole = self.bytes() + batch.len() as u64;
         if whole > self.most {
             return Err(SegmentError::Full(whole, self.most));
         }
+        if self.current.bytes >= SEGMENT_BYTES {
+            self.rotate()?;
+        }
         self.file
             .write_all(&batch)
             .map_err(|error| self.fail(error))?;
@@ -185,7 +176,6 @@
         self.sync()?;
         let (file, segment) = create(&self.folder, self.current.number + 1)?;
         self.file = file;
-        self.sent = Sent::default();
         self.older
             .push(std::mem::replace(&mut self.current, segment));
         Ok(self.older.len())
@@ -248,13 +238,8 @@
 /// Reads records up to the first one that is not whole, and returns the bytes
 /// that they take.
 fn read_records(bytes: &[u8], records: &mut Vec<Record>) -> usize {
-    let mut received = Received::default();
     let mut at = 0;
-    while let Some((mut record, size)) = frames::first::<Record>(&bytes[at..]) {
-        let text = record.text();
-        if text.is_some_and(|text| received.fill(text).is_err()) {
-            break;
-        }
+    while let Some((record, size)) = frames::first(&bytes[at..]) {
         records.push(record);
         at += size;
     }
--- a/net/src/timeout.rs
+++ b/net/src/timeout.rs
@@ -2,8 +2,8 @@
 //!
 //! Nearly all of them are dropped before they are due, some ten for each
 //! request. All wait behind one timer of the reactor, since each timer that the
-//! reactor is given costs system calls at once: a gateway needed 17 for each
-//! request and needs 12 so, counted with strace at 85 turns a second.
+//! reactor is given costs system calls at once: counted with strace under a
+//! steady load, a gateway makes 38 for each request so, and 50 otherwise.
 
 use std::collections::BTreeMap;
 use std::future::Future;
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -563,7 +563,7 @@
             self.turns.remember(vec![Link {
                 turn: self.begin.turn.clone(),
                 previous: self.begin.previous.clone(),
-                text: self.begin.input.then(&output),
+                text: [&self.begin.input[..], &output[..]].concat().into(),
             }]);
         }
         done
--- a/net/tests/segments.rs
+++ b/net/tests/segments.rs
@@ -7,7 +7,6 @@
 use limpetferry_lib::ledger::Begin;
 use limpetferry_lib::ledger::Finish;
 use limpetferry_lib::ledger::Record;
-use limpetferry_lib::text::Text;
 use limpetferry_net::segments::SegmentError;
 use limpetferry_net::segments::Segments;
 use limpetferry_testutils::folder::Folder;
@@ -27,7 +26,7 @@
             turn,
             program: "program".into(),
             previous: None,
-            input: Text::own(vec![7; 40].into()),
+            input: vec![7; 40].into(),
             most: 50,
         })
     } else {
@@ -79,56 +78,6 @@
     }
 }
 
-/// Beginnings of turns with one prompt, which the file holds once.
-fn sharing(count: usize) -> Vec<Record> {
-    let prompt: Vec<u8> = (0..6_000_u32).map(|at| (at * at % 251) as u8).collect();
-    let mut records = records(2 * count);
-    records.retain(|record| matches!(record, Record::Begin(_)));
-    for (number, record) in records.iter_mut().enumerate() {
-        let rest = vec![number as u8; 300];
-        if let Some(text) = record.text() {
-            *text = Text::cut([&prompt[..], &rest].concat().into());
-        }
-    }
-    records
-}
-
-#[test]
-fn turns_that_share_a_prompt_survive_a_cut_a_new_file_and_rewriting() {
-    let folder = folder();
-    let (mut segments, _) = Segments::open(&folder, MOST).expect("it opens");
-    segments.append(&sharing(3)).expect("it is written");
-    segments.sync().expect("it is synced");
-    let alone = segments.bytes();
-    segments.rotate().expect("a new file is begun");
-    segments.append(&sharing(3)).expect("it is written");
-    let both = segments.bytes();
-    drop(segments);
-    assert!(
-        alone < 9_000,
-        "{alone} bytes for 18,900 of which 12,000 are shared"
-    );
-    assert_eq!(both, 2 * alone, "each file stands for itself");
-
-    let file = files(&folder).remove(0);
-    let bytes = fs::read(&file).expect("the file is there");
-    for cut in (0..bytes.len()).step_by(37) {
-        fs::write(&file, &bytes[..cut]).expect("it can be written");
-        let (_, found) = Segments::open(&folder, MOST).expect("it opens");
-        let whole = found.records.len() - 3;
-        assert_eq!(found.records[..whole], sharing(3)[..whole], "cut at {cut}");
-        assert_eq!(found.records[whole..], sharing(3), "cut at {cut}");
-        let empty = files(&folder).pop().expect("the new one");
-        fs::remove_file(empty).expect("it goes");
-    }
-
-    let (mut segments, found) = Segments::open(&folder, MOST).expect("it opens");
-    segments.rewrite(&found.records).expect("it is rewritten");
-    drop(segments);
-    let (_, again) = Segments::open(&folder, MOST).expect("it opens");
-    assert_eq!(again.records, found.records);
-}
-
 #[test]
 fn what_is_appended_after_a_restart_is_found_behind_a_torn_end() {
     let folder = folder();
--- a/testutils/src/soak_caller.rs
+++ b/testutils/src/soak_caller.rs
@@ -29,7 +29,7 @@
 const EVENT_TOKENS: u64 = 10;
 /// Tries of a turn before its program is given up.
 const TRIES: usize = 3;
-/// A first input that is cut into pieces, since others begin alike.
+/// Bytes of a first input, some of them in one frame of a link.
 const PROMPT: usize = 6_000;
 
 /// What kind of request an attempt was.
@@ -211,7 +211,7 @@
         }
     }
 
-    /// Returns the input of a program's turn; first ones share a prompt.
+    /// Returns the input of a program's turn; first ones are longer.
     fn input(&mut self, turn: usize) -> String {
         let own = format!("input {} of caller {}", self.attempts, self.number);
         if turn > 0 {
