--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -118,7 +118,7 @@
 }
 
 /// The site under faults.
-struct Ground {
+struct FaultySite {
     site: PlatformSite,
     version: u64,
     /// What has to be undone, and when: the later faults of the same kind wait.
@@ -130,7 +130,7 @@
     trace: Vec<String>,
 }
 
-impl Ground {
+impl FaultySite {
     /// Returns whether a fault of the same process or wire is still there.
     fn is_busy(&self, fault: Fault) -> bool {
         let busy = |other: &Fault| match (fault, *other) {
@@ -280,25 +280,25 @@
             smol::spawn(caller.run(stopped.clone()))
         })
         .collect();
-    let mut ground = Ground {
+    let mut faulty = FaultySite {
         site,
         version: 1,
         undo: Vec::new(),
         wiped: None,
         trace: Vec::new(),
     };
-    let faults = disturb(&mut ground, length, &mut random).await;
+    let faults = disturb(&mut faulty, length, &mut random).await;
     let mut broken = Vec::new();
-    let ended = ground.site.ended();
+    let ended = faulty.site.ended();
     if !ended.is_empty() {
         broken.push(format!("these processes ended by themselves: {ended:?}"));
     }
-    broken.extend(recover(&ground, &records).await.err());
+    broken.extend(recover(&faulty, &records).await.err());
     drop(stop);
     for caller in callers {
         caller.await;
     }
-    let site = &ground.site;
+    let site = &faulty.site;
     let servers = [&site.engines[..], &site.plain].concat();
     let runs: Vec<Run> = servers.iter().flat_map(|server| server.runs()).collect();
     let records = records.all();
@@ -310,43 +310,43 @@
             faults,
         })
     } else {
-        broken.extend(ground.trace);
+        broken.extend(faulty.trace);
         Err(broken)
     }
 }
 
 /// Injects faults for `length`, undoes all of them and returns their number.
-async fn disturb(ground: &mut Ground, length: Duration, random: &mut SmallRng) -> usize {
+async fn disturb(faulty: &mut FaultySite, length: Duration, random: &mut SmallRng) -> usize {
     let length = length.as_millis() as u64;
     let (mut now, mut count) = (0, 0);
     while now < length {
         let fault = draw(random);
-        if !ground.is_busy(fault) && ground.may_wipe(fault).await {
-            ground.trace.push(format!("{now} ms: {fault:?}"));
-            ground.inject(fault, random).await;
+        if !faulty.is_busy(fault) && faulty.may_wipe(fault).await {
+            faulty.trace.push(format!("{now} ms: {fault:?}"));
+            faulty.inject(fault, random).await;
             let lasts = random.random_range(50..LONGEST_FAULT);
-            ground.undo.push((now + lasts, fault));
+            faulty.undo.push((now + lasts, fault));
             count += 1;
         }
         let pause = random.random_range(0..LONGEST_PAUSE);
         smol::Timer::after(Duration::from_millis(pause)).await;
         now += pause;
-        let (due, later) = ground.undo.drain(..).partition(|(at, _)| *at <= now);
-        ground.undo = later;
+        let (due, later) = faulty.undo.drain(..).partition(|(at, _)| *at <= now);
+        faulty.undo = later;
         for (_, fault) in due {
-            ground.trace.push(format!("{now} ms: over: {fault:?}"));
-            ground.undo(fault, random).await;
+            faulty.trace.push(format!("{now} ms: over: {fault:?}"));
+            faulty.undo(fault, random).await;
         }
     }
-    for (_, fault) in std::mem::take(&mut ground.undo) {
-        ground.undo(fault, random).await;
+    for (_, fault) in std::mem::take(&mut faulty.undo) {
+        faulty.undo(fault, random).await;
     }
     count
 }
 
 /// Waits until each gateway serves a turn that goes on from an old one.
-async fn recover(ground: &Ground, records: &Records) -> Result<(), String> {
-    let site = &ground.site;
+async fn recover(faulty: &FaultySite, records: &Records) -> Result<(), String> {
+    let site = &faulty.site;
     let old = records
         .all()
         .into_iter()
