net: lock the fleet before the connections when a server is chosen

Cause: choosing a server locked the idle connections and then the fleet; closing the connections of servers that are gone locks them the other way round. Tasks run on one thread today, so that nothing could hang yet; a second executor thread could. Change: one order in both places. Whether an idle connection may be used is decided by one method, which stood three times.

--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -130,12 +130,14 @@
 
     fn pick(&self, tried: &[ServerKey]) -> Option<Lease> {
         let key = {
+            // The fleet is locked before the connections, as where those of
+            // servers that are gone are closed.
+            let known = self.gateway.site.known();
             let warm = self.gateway.pool.warm(self.now(), self.runs_once());
             let wish = Wish {
                 connected: Some(&warm),
                 ..self.wish(tried)
             };
-            let known = self.gateway.site.known();
             known.fleet.pick(self.now(), &self.service, &wish)?
         };
         self.lease(key)
--- a/net/src/pool.rs
+++ b/net/src/pool.rs
@@ -59,6 +59,21 @@
     keep: Duration,
 }
 
+impl Idle {
+    fn age(&self, now: Time) -> Duration {
+        now.since(self.since)
+    }
+
+    /// Returns whether its server keeps it still, as far as is known.
+    fn is_kept(&self, now: Time) -> bool {
+        self.age(now) < self.keep
+    }
+
+    fn is_usable(&self, now: Time) -> bool {
+        self.is_kept(now) && !self.sender.is_closed()
+    }
+}
+
 /// Idle connections to servers, by the server's id.
 #[derive(Default)]
 pub struct Pool {
@@ -92,10 +107,7 @@
 impl Connected for Warm<'_> {
     fn has(&self, server: &str) -> bool {
         let last = self.idle.get(server).and_then(|list| list.last());
-        last.is_some_and(|last| {
-            let idle = self.now.since(last.since);
-            idle < last.keep.min(self.longest) && !last.sender.is_closed()
-        })
+        last.is_some_and(|last| last.is_usable(self.now) && last.age(self.now) <= self.longest)
     }
 }
 
@@ -117,7 +129,7 @@
         let before = list.len();
         list.retain(|idle| !idle.sender.is_closed());
         let closed = before > list.len();
-        list.retain(|idle| now.since(idle.since) < idle.keep);
+        list.retain(|idle| idle.is_kept(now));
         let Some(last) = list.last() else {
             return Err(match (before, closed) {
                 (0, _) => Absence::None,
@@ -125,13 +137,13 @@
                 (_, false) => Absence::Old,
             });
         };
-        if once && now.since(last.since) > once_idle {
+        if once && last.age(now) > once_idle {
             return Err(Absence::Old);
         }
         let last = list.pop().ok_or(Absence::None)?;
         Ok(Kept {
+            idle: last.age(now),
             sender: last.sender,
-            idle: now.since(last.since),
         })
     }
 
@@ -204,7 +216,7 @@
     pub fn expire(&self, now: Time, exists: impl Fn(&str) -> bool) {
         let mut idle = self.idle.lock().expect("no panic while locked");
         idle.retain(|server, list| {
-            list.retain(|idle| now.since(idle.since) < idle.keep && !idle.sender.is_closed());
+            list.retain(|idle| idle.is_usable(now));
             exists(server) && !list.is_empty()
         });
     }
