--- a/keeper/src/main.rs
+++ b/keeper/src/main.rs
@@ -5,13 +5,14 @@
 use clap::Parser;
 use limpetferry_net::keeper_node;
 use limpetferry_net::start::start_live;
+use limpetferry_platform::SETTINGS_VARIABLE;
 
 /// Runs the limpetferry keeper process.
 #[derive(Parser)]
 #[command(version)]
 struct Args {
     /// File with the settings, in JSON.
-    #[arg(long, env = "LIMPETFERRY_SETTINGS")]
+    #[arg(long, env = SETTINGS_VARIABLE)]
     settings: PathBuf,
     /// Only checks the settings; exits with 1 if they have faults.
     #[arg(long)]
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -190,11 +190,17 @@
     }
 
     /// Notes that a request got an answer of the system's own.
-    pub fn refused(&self, attempt: &str, program: Option<&str>, refusal: &Refusal, start: Time) {
+    pub fn refused(
+        &self,
+        attempt: Option<&str>,
+        program: Option<&str>,
+        refusal: &Refusal,
+        start: Time,
+    ) {
         let after = refusal.after.map_or(0, |after| after.as_millis());
         self.note(
             Note::new("refused")
-                .with("attempt", attempt)
+                .with("attempt", attempt.unwrap_or("none"))
                 .with("program", program.unwrap_or("none"))
                 .with("status", refusal.status.as_u16())
                 .with("why", &refusal.why)
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -78,8 +78,6 @@
     let start = gateway.clock.now();
     let (head, body) = request.into_parts();
     let attempt = header::attempt(&head.headers).cloned();
-    let id = attempt.as_ref().and_then(|value| value.to_str().ok());
-    let id = id.unwrap_or("none").to_owned();
     let call = header::decode_call(&head.headers);
     let call = call.map_err(|error| Refusal::new(StatusCode::BAD_REQUEST, error.to_string()));
     let program = call.as_ref().ok().and_then(|call| call.program.as_ref());
@@ -91,7 +89,8 @@
     let mut response = match answer {
         Ok(response) => response,
         Err(refusal) => {
-            gateway.refused(&id, program.as_deref(), &refusal, start);
+            let id = attempt.as_ref().and_then(|value| value.to_str().ok());
+            gateway.refused(id, program.as_deref(), &refusal, start);
             let mut response = refusal.answer();
             if let Some(attempt) = attempt {
                 header::set_attempt(response.headers_mut(), attempt);
--- a/net/src/steps.rs
+++ b/net/src/steps.rs
@@ -1,4 +1,5 @@
-//! When a request reached each step of its way, for its line in the log.
+//! When a request reached each step of its way and what its server told of
+//! its load, for its line in the log.
 
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
@@ -7,8 +8,8 @@
 use limpetferry_lib::effect::Note;
 use limpetferry_lib::fleet::Load;
 
-/// Milliseconds from a request's first byte to each step; zero where it did
-/// not come to it.
+/// Milliseconds from a request's first byte to each step, and the requests that
+/// its server ran and had waiting; zero where it did not come to it.
 #[derive(Debug, Default)]
 pub struct Steps {
     read: AtomicU32,
