testutils: settings' faults asserted in one place; the soak marks a wiped keeper at once

Change: shared assertions, the same as before; the keeper counts as wiped from the moment it is killed. Two comments named the order of servers wrongly.

--- a/entry/tests/check.rs
+++ b/entry/tests/check.rs
@@ -2,6 +2,7 @@
 
 use limpetferry_testutils::check::assert_faultless;
 use limpetferry_testutils::check::assert_faults;
+use limpetferry_testutils::check::assert_unknown_refused;
 use limpetferry_testutils::check::example;
 use serde_json::Value;
 use serde_json::json;
@@ -34,8 +35,5 @@
 
 #[test]
 fn unknown_fields_are_refused() {
-    let mut settings = settings();
-    settings["colour"] = json!("blue");
-
-    assert_faults(PROGRAM, &settings, &["colour"]);
+    assert_unknown_refused(PROGRAM, settings());
 }
--- a/testutils/src/check.rs
+++ b/testutils/src/check.rs
@@ -5,6 +5,7 @@
 use std::process::Output;
 
 use serde_json::Value;
+use serde_json::json;
 
 /// Reads an example below the workspace's `examples`.
 ///
@@ -64,3 +65,33 @@
         assert!(text.contains(fault), "no {fault:?} in {text}");
     }
 }
+
+/// Asserts that `program` refuses settings of the users' platform with three
+/// faults in what all processes are told, and lists each with its remedy.
+///
+/// # Panics
+///
+/// Panics if it does not, or cannot be started.
+pub fn assert_common_faults(program: &str, mut settings: Value) {
+    settings["common"]["key"] = json!("short");
+    settings["common"]["node"] = json!("two words");
+    settings["common"]["stop_ms"] = json!(0);
+
+    let faults = [
+        "common.key: give at least 16",
+        "common.node: give 1 to 64",
+        "common.stop_ms: give a number above zero",
+    ];
+    assert_faults(program, &settings, &faults);
+}
+
+/// Asserts that `program` refuses settings with a field that it does not know.
+///
+/// # Panics
+///
+/// Panics if it does not, or cannot be started.
+pub fn assert_unknown_refused(program: &str, mut settings: Value) {
+    settings["colour"] = json!("blue");
+
+    assert_faults(program, &settings, &["colour"]);
+}
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -51,7 +51,7 @@
     pub store: Vec<Wire>,
     /// To each keeper.
     pub keepers: Vec<Wire>,
-    /// To each server, engines first.
+    /// To each server, in the order in which they were added.
     pub servers: Vec<Wire>,
 }
 
--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -137,8 +137,7 @@
             (Fault::KillKeepers, other) | (other, Fault::KillKeepers) => keeper(other).is_some(),
             (a, b) => {
                 let same = keeper(a).is_some() && keeper(a) == keeper(b);
-                let wiping = matches!((a, b), (Fault::WipeKeeper(_), Fault::WipeKeeper(_)));
-                same || wiping || (gateway(a).is_some() && gateway(a) == gateway(b))
+                same || (gateway(a).is_some() && gateway(a) == gateway(b))
             }
         };
         self.undo.iter().any(|(_, other)| busy(other))
@@ -168,9 +167,13 @@
                 site.process(&format!("gateway-{number}")).ask_stop().await;
             }
             Fault::FreezeGateway(number) => site.process(&format!("gateway-{number}")).freeze(),
-            Fault::KillKeeper(number) | Fault::WipeKeeper(number) | Fault::TearKeeper(number) => {
+            Fault::KillKeeper(number) | Fault::TearKeeper(number) => {
                 site.process(&format!("keeper-{number}")).kill();
             }
+            Fault::WipeKeeper(number) => {
+                site.process(&format!("keeper-{number}")).kill();
+                self.wiped = Some(number);
+            }
             Fault::KillKeepers => {
                 for number in 0..KEEPERS {
                     site.process(&format!("keeper-{number}")).kill();
@@ -214,7 +217,6 @@
             Fault::WipeKeeper(number) => {
                 site.wipe(number);
                 site.start_keeper(number);
-                self.wiped = Some(number);
             }
             Fault::TearKeeper(number) => {
                 let size = random.random_range(1..200);
@@ -232,7 +234,7 @@
     }
 }
 
-/// Ids of the servers, in the order of their wires.
+/// Ids of the servers, in the order in which they were added.
 const SERVERS: [&str; 4] = ["engine-0", "plain-0", "engine-1", "plain-1"];
 
 fn slow(wire: &Wire, random: &mut SmallRng) {
