fleet: a server's new start is another server; entries of other writers name none

A worker may start again under its id, told by born; Fleet kept the load, cache, pauses, connections and own requests of its earlier life. A server without born is another one at another address.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -31,8 +31,10 @@
 /// A server as it describes itself.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Server {
-    /// Id of this start of it.
+    /// Its id, which it keeps if it starts again.
     pub id: Arc<str>,
+    /// Unix millisecond of its start, if it says so.
+    pub born: Option<u64>,
     /// Service that it belongs to.
     pub service: Arc<str>,
     /// Address for requests.
@@ -45,6 +47,36 @@
     pub state: ServerState,
 }
 
+impl Server {
+    /// Returns whether this describes an earlier start than `other` does.
+    fn is_before(&self, other: &Self) -> bool {
+        matches!((self.born, other.born), (Some(own), Some(other)) if own < other)
+    }
+
+    /// Returns whether this describes the same start as `other`. A server that
+    /// does not say when it started keeps its address as long as it runs.
+    fn is_same_start(&self, other: &Self) -> bool {
+        let same = match (self.born, other.born) {
+            (Some(own), Some(other)) => own == other,
+            _ => self.address == other.address,
+        };
+        same && self.service == other.service
+    }
+}
+
+/// What an entry says that was not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Arrival {
+    /// A server that was not known.
+    New,
+    /// Another state of a known one, or nothing.
+    Known,
+    /// The server has started again, and holds nothing of what it had.
+    Restarted,
+    /// An earlier start than the known one; it changes nothing.
+    Outdated,
+}
+
 /// Load as a server reports it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -73,8 +105,8 @@
 
 /// Tells to which servers there is a connection that nobody uses.
 pub trait Connected {
-    /// Returns whether there is one to the server of this id.
-    fn has(&self, server: &str) -> bool;
+    /// Returns whether there is one to this start of the server.
+    fn has(&self, server: ServerKey) -> bool;
 }
 
 /// What the choice of a server depends on besides its load.
@@ -188,7 +220,7 @@
         others * (0.5 + 0.5 * (-halves).exp2())
     }
 
-    fn cost(&self, now: Time, wish: &Wish<'_>) -> f64 {
+    fn cost(&self, now: Time, key: ServerKey, wish: &Wish<'_>) -> f64 {
         let at_once = f64::from(self.own) + self.others(now);
         let slots = f64::from(self.server.slots);
         let waiting = (at_once + 1.0 - slots).max(0.0);
@@ -199,7 +231,7 @@
             cost += FAR_MS;
         }
         let connected = wish.connected;
-        if connected.is_some_and(|connected| !connected.has(&self.server.id)) {
+        if connected.is_some_and(|connected| !connected.has(key)) {
             cost += CONNECT_MS;
         }
         if wish
@@ -231,18 +263,29 @@
 }
 
 impl Fleet {
-    /// Takes a server's entry, new or changed.
-    pub fn put(&mut self, server: Server) {
-        if let Some(&key) = self.ids.get(&server.id)
-            && let Some(member) = self.members.get_mut(key)
-        {
+    /// Takes a server's entry, new or changed. A server that has started again
+    /// is another one: nothing that was believed of it holds, and what is under
+    /// way at its earlier start no longer counts.
+    pub fn put(&mut self, server: Server) -> Arrival {
+        let Some(&key) = self.ids.get(&server.id) else {
+            self.insert(server);
+            return Arrival::New;
+        };
+        let member = &mut self.members[key];
+        if server.is_before(&member.server) {
+            return Arrival::Outdated;
+        }
+        if server.is_same_start(&member.server) {
             member.lapsed = None;
-            if member.server.service == server.service {
-                member.server = server;
-                return;
-            }
-            self.remove(key);
+            member.server = server;
+            return Arrival::Known;
         }
+        self.remove(key);
+        self.insert(server);
+        Arrival::Restarted
+    }
+
+    fn insert(&mut self, server: Server) {
         let (id, service) = (server.id.clone(), server.service.clone());
         let key = self.members.insert(Member::new(server));
         self.ids.insert(id, key);
@@ -289,9 +332,14 @@
         Some(member.server.id)
     }
 
-    /// Returns whether a server of that id is known.
-    pub fn contains(&self, id: &str) -> bool {
-        self.ids.contains_key(id)
+    /// Returns whether a server is known, in the same start.
+    pub fn contains(&self, key: ServerKey) -> bool {
+        self.members.contains_key(key)
+    }
+
+    /// Returns the key of the server of that id.
+    pub fn key(&self, id: &str) -> Option<ServerKey> {
+        self.ids.get(id).copied()
     }
 
     /// Returns a server.
@@ -334,7 +382,7 @@
             }
             let member = &self.members[key];
             let paused = member.pause_until.is_some_and(|until| now < until);
-            let cost = member.cost(now, wish);
+            let cost = member.cost(now, key, wish);
             if best.is_none_or(|(p, c, _)| (paused, cost) < (p, c)) {
                 best = Some((paused, cost, key));
             }
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -1,10 +1,12 @@
 //! Where requests go: the patterns of the heaviest days, without a network.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use limpetferry_lib::call::Part;
+use limpetferry_lib::fleet::Arrival;
 use limpetferry_lib::fleet::Connected;
 use limpetferry_lib::fleet::Fleet;
 use limpetferry_lib::fleet::LAPSE_WAIT;
@@ -19,6 +21,7 @@
 fn server(number: u16) -> Server {
     Server {
         id: format!("server-{number}").into(),
+        born: None,
         service: Arc::from("engine"),
         address: ([10, 0, 0, 1], 8_000 + number).into(),
         centre: Arc::from(if number.is_multiple_of(2) {
@@ -33,7 +36,9 @@
 
 fn fleet(count: u16) -> Fleet {
     let mut fleet = Fleet::default();
-    (0..count).for_each(|number| fleet.put(server(number)));
+    for number in 0..count {
+        fleet.put(server(number));
+    }
     fleet
 }
 
@@ -213,23 +218,30 @@
 }
 
 /// Idle connections to servers with an even number.
-struct ToEven;
+struct ToEven(HashSet<ServerKey>);
+
+impl ToEven {
+    fn new(fleet: &Fleet) -> Self {
+        let even = (0..8).step_by(2);
+        Self(
+            even.filter_map(|number| fleet.key(&format!("server-{number}")))
+                .collect(),
+        )
+    }
+}
 
 impl Connected for ToEven {
-    fn has(&self, server: &str) -> bool {
-        let number = server
-            .rsplit('-')
-            .next()
-            .and_then(|number| number.parse::<u32>().ok());
-        number.is_some_and(|number| number.is_multiple_of(2))
+    fn has(&self, server: ServerKey) -> bool {
+        self.0.contains(&server)
     }
 }
 
 #[test]
 fn of_servers_alike_one_with_an_idle_connection_is_taken_but_not_for_a_queue() {
     let mut fleet = fleet(8);
+    let even = ToEven::new(&fleet);
     let connected = Wish {
-        connected: Some(&ToEven),
+        connected: Some(&even),
         centre: "nowhere",
         ..wish(0.3)
     };
@@ -237,7 +249,7 @@
         let key = fleet
             .pick(Time::default(), "engine", &connected)
             .expect("a server");
-        assert!(ToEven.has(&id(&fleet, key)), "{}", id(&fleet, key));
+        assert!(even.has(key), "{}", id(&fleet, key));
         fleet.begin(key, &connected);
     }
 
@@ -245,5 +257,77 @@
         .pick(Time::default(), "engine", &connected)
         .expect("a server");
 
-    assert!(!ToEven.has(&id(&fleet, next)), "the others are free");
+    assert!(!even.has(next), "the others are free");
+}
+
+/// An entry of a server that started at `born` and has another address for
+/// each start.
+fn started(born: u64) -> Server {
+    Server {
+        born: Some(born),
+        address: ([10, 0, 0, 2], born as u16).into(),
+        ..server(0)
+    }
+}
+
+#[test]
+fn a_server_that_starts_again_holds_nothing_of_what_it_had() {
+    let mut fleet = fleet(2);
+    let parts = [Part {
+        id: 1,
+        tokens: 12_600,
+    }];
+    let with = Wish {
+        parts: &parts,
+        ..wish(0.0)
+    };
+    fleet.put(started(1));
+    let old = fleet.key("server-0").expect("it is known");
+    (0..4).for_each(|_| fleet.begin(old, &with));
+    fleet.end(Time::default(), old, Outcome::Broken);
+
+    let arrival = fleet.put(started(2));
+    let new = fleet.key("server-0").expect("it is known");
+    // What was under way at the earlier start ends only now.
+    fleet.end(Time::default(), old, Outcome::Broken);
+
+    assert_eq!(arrival, Arrival::Restarted);
+    assert!(new != old && !fleet.takes(old) && !fleet.contains(old));
+    assert_eq!(
+        fleet.server(new).map(|server| server.address),
+        Some(started(2).address)
+    );
+    // It is not paused, it holds no prompt and nothing runs there: it is as
+    // good as the other one, and nearer.
+    assert_eq!(fleet.pick(Time::default(), "engine", &with), Some(new));
+    assert_eq!(fleet.ready("engine"), 2);
+}
+
+#[test]
+fn an_entry_of_an_earlier_start_that_comes_late_changes_nothing() {
+    let mut fleet = fleet(2);
+    fleet.put(started(2));
+    let key = fleet.key("server-0");
+
+    let arrival = fleet.put(started(1));
+    let mut leaving = started(1);
+    leaving.state = ServerState::Draining;
+    let again = fleet.put(leaving);
+
+    assert_eq!((arrival, again), (Arrival::Outdated, Arrival::Outdated));
+    assert_eq!(fleet.key("server-0"), key);
+    assert!(key.is_some_and(|key| fleet.takes(key)));
+}
+
+#[test]
+fn a_server_that_does_not_say_when_it_started_is_another_one_at_another_address() {
+    let mut fleet = fleet(1);
+    let old = fleet.key("server-0");
+    let mut moved = server(0);
+    moved.address = ([10, 0, 0, 3], 9_000).into();
+
+    let arrival = fleet.put(moved);
+
+    assert_eq!(arrival, Arrival::Restarted);
+    assert_ne!(fleet.key("server-0"), old);
 }
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -54,7 +54,7 @@
         self.close(outcome);
         if let Some(sender) = self.sender.take().filter(|_| reuse) {
             let now = self.gateway.clock.now();
-            self.gateway.pool.put(now, &self.server, sender, self.keep);
+            self.gateway.pool.put(now, self.key, sender, self.keep);
         }
     }
 
@@ -285,7 +285,7 @@
         };
         let once = self.runs_once();
         let meters = &self.gateway.meters;
-        let taken = self.gateway.pool.take(self.now(), &lease.server, once);
+        let taken = self.gateway.pool.take(self.now(), lease.key, once);
         let source = taken
             .as_ref()
             .map_or_else(|absence| absence.label(), |_| "kept");
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -299,7 +299,7 @@
             self.look();
             let known = self.site.known();
             self.pool
-                .expire(self.clock.now(), |id| known.fleet.contains(id));
+                .expire(self.clock.now(), |key| known.fleet.contains(key));
         }
     }
 }
--- a/net/src/pool.rs
+++ b/net/src/pool.rs
@@ -2,12 +2,12 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::time::Duration;
 
 use limpetferry_lib::fleet::Connected;
+use limpetferry_lib::fleet::ServerKey;
 use limpetferry_lib::time::Time;
 
 use crate::http::HttpError;
@@ -77,7 +77,7 @@
 /// Idle connections to servers, by the server's id.
 #[derive(Default)]
 pub struct Pool {
-    idle: Mutex<HashMap<Arc<str>, Vec<Idle>>>,
+    idle: Mutex<HashMap<ServerKey, Vec<Idle>>>,
     dropped: Mutex<Option<Dropped>>,
 }
 
@@ -99,14 +99,14 @@
 
 /// The servers to which there is an idle connection.
 pub struct Warm<'a> {
-    idle: MutexGuard<'a, HashMap<Arc<str>, Vec<Idle>>>,
+    idle: MutexGuard<'a, HashMap<ServerKey, Vec<Idle>>>,
     now: Time,
     longest: Duration,
 }
 
 impl Connected for Warm<'_> {
-    fn has(&self, server: &str) -> bool {
-        let last = self.idle.get(server).and_then(|list| list.last());
+    fn has(&self, server: ServerKey) -> bool {
+        let last = self.idle.get(&server).and_then(|list| list.last());
         last.is_some_and(|last| last.is_usable(self.now) && last.age(self.now) <= self.longest)
     }
 }
@@ -122,10 +122,10 @@
     /// # Panics
     ///
     /// Panics if another thread panicked while it held the lock.
-    pub fn take(&self, now: Time, server: &str, once: bool) -> Result<Kept, Absence> {
+    pub fn take(&self, now: Time, server: ServerKey, once: bool) -> Result<Kept, Absence> {
         let once_idle = self.once_idle(now);
         let mut idle = self.idle.lock().expect("no panic while locked");
-        let list = idle.get_mut(server).ok_or(Absence::None)?;
+        let list = idle.get_mut(&server).ok_or(Absence::None)?;
         let before = list.len();
         list.retain(|idle| !idle.sender.is_closed());
         let closed = before > list.len();
@@ -191,13 +191,13 @@
     /// # Panics
     ///
     /// Panics if another thread panicked while it held the lock.
-    pub fn put(&self, now: Time, server: &Arc<str>, sender: Sender, keep: Option<Duration>) {
+    pub fn put(&self, now: Time, server: ServerKey, sender: Sender, keep: Option<Duration>) {
         if sender.is_closed() {
             return;
         }
         let keep = keep.unwrap_or(USUAL_KEEP).mul_f64(SAFE_SHARE);
         let mut idle = self.idle.lock().expect("no panic while locked");
-        let list = idle.entry(server.clone()).or_default();
+        let list = idle.entry(server).or_default();
         if list.len() < MAX_IDLE {
             list.push(Idle {
                 sender,
@@ -213,11 +213,11 @@
     /// # Panics
     ///
     /// Panics if another thread panicked while it held the lock.
-    pub fn expire(&self, now: Time, exists: impl Fn(&str) -> bool) {
+    pub fn expire(&self, now: Time, exists: impl Fn(ServerKey) -> bool) {
         let mut idle = self.idle.lock().expect("no panic while locked");
         idle.retain(|server, list| {
             list.retain(|idle| idle.is_usable(now));
-            exists(server) && !list.is_empty()
+            exists(*server) && !list.is_empty()
         });
     }
 
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -22,6 +22,7 @@
 use limpetferry_lib::routing::Routing;
 use limpetferry_lib::time::Time;
 use limpetferry_platform::document;
+use limpetferry_platform::document::DocumentError;
 use limpetferry_platform::store::Changes;
 use limpetferry_platform::store::Item;
 use limpetferry_platform::store::ReplyError;
@@ -391,23 +392,33 @@
     }
 
     fn server(&self, id: &str, value: &[u8], revision: u64) {
-        match document::decode_server(id, value) {
-            Ok(server) => {
-                let note = Note::new("server")
-                    .with("server", id)
-                    .with("service", &server.service)
-                    .with("address", server.address)
-                    .with("state", format!("{:?}", server.state))
-                    .with("revision", revision);
-                self.known().fleet.put(server);
-                self.note(note);
-            }
-            Err(error) => self.note(
-                Note::new("server_unread")
-                    .with("server", id)
-                    .with("why", error),
-            ),
-        }
+        let server = match document::decode_server(id, value) {
+            Ok(server) => server,
+            Err(error) => return self.server_unread(id, &error, revision),
+        };
+        let note = Note::new("server")
+            .with("server", id)
+            .with("service", &server.service)
+            .with("address", server.address)
+            .with("state", format!("{:?}", server.state))
+            .with("born", server.born.unwrap_or_default());
+        let arrival = self.known().fleet.put(server);
+        self.note(
+            note.with("arrival", format!("{arrival:?}"))
+                .with("revision", revision),
+        );
+    }
+
+    /// Drops a server whose entry cannot be read: another writer made it, and
+    /// what it says of the server is not known to hold.
+    fn server_unread(&self, id: &str, error: &DocumentError, revision: u64) {
+        self.note(
+            Note::new("server_unread")
+                .with("server", id)
+                .with("why", error)
+                .with("revision", revision),
+        );
+        self.known().fleet.drop_server(id);
     }
 
     fn server_gone(&self, id: &str, lapsed: bool) {
@@ -443,7 +454,10 @@
                 drop(known);
                 self.note(note);
             }
-            Err(error) => self.note(Note::new("routing_unread").with("why", error)),
+            Err(error) => {
+                let note = Note::new("routing_unread").with("why", error);
+                self.note(note.with("remedy", "the last good one stays in force"));
+            }
         }
     }
 
--- a/net/tests/platform_failures.rs
+++ b/net/tests/platform_failures.rs
@@ -2,6 +2,7 @@
 //! fail.
 
 use limpetferry_testutils::platform_server::Behaviour;
+use limpetferry_testutils::platform_server::StandInServer;
 use limpetferry_testutils::platform_server::whole_output;
 use limpetferry_testutils::platform_site::Answer;
 use limpetferry_testutils::platform_site::PlatformSite;
@@ -238,3 +239,51 @@
         assert!(!site.process("keeper-0").has_ended());
     });
 }
+
+#[test]
+fn an_entry_of_another_writer_takes_its_server_out_and_the_others_hold() {
+    smol::block_on(async {
+        let site = site().await;
+        let servers = (site.engines.len() + site.plain.len()) as u64;
+
+        site.change_entry("engine-0", |entry| entry["Slots"] = "eight".into());
+        for gateway in 0..2 {
+            site.wait_for_servers(gateway, servers - 1).await;
+        }
+        for _ in 0..4 {
+            served_turn(&site, 0, None).await;
+        }
+        site.change_entry("engine-0", |entry| entry["Slots"] = 8.into());
+        for gateway in 0..2 {
+            site.wait_for_servers(gateway, servers).await;
+        }
+
+        assert!(site.engines[0].runs().is_empty());
+        site.wait_for_log("gateway-0", "event=server_unread").await;
+    });
+}
+
+#[test]
+fn a_server_that_starts_again_under_its_id_is_found_at_its_new_address() {
+    smol::block_on(async {
+        let site = site().await;
+        for engine in 1..site.engines.len() {
+            site.set_state(&format!("engine-{engine}"), "draining");
+        }
+        site.wait_for_servers(0, 1 + site.plain.len() as u64).await;
+        let first = served_turn(&site, 0, None).await;
+        let again = StandInServer::default();
+        let address = again.start().await.to_string();
+
+        site.change_entry("engine-0", |entry| {
+            entry["Address"] = address.into();
+            entry["born"] = 1_785_000_000_123_u64.into();
+        });
+        site.wait_for_log("gateway-0", "arrival=Restarted").await;
+        let before = site.engines[0].runs().len();
+        served_turn(&site, 0, Some(&first)).await;
+
+        assert_eq!(again.runs().len(), 1);
+        assert_eq!(site.engines[0].runs().len(), before);
+    });
+}
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -344,7 +344,7 @@
             self.wires.servers.push(wire);
         }
         let entry = json!({"Service": service, "Address": address.to_string(), "Zone": "here",
-                           "Slots": 8, "State": "ready", "Seq": 1});
+                           "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Seq": 1});
         self.store.put(&format!("servers/{id}"), &entry);
     }
 
@@ -354,9 +354,18 @@
     ///
     /// Panics if the server has no entry.
     pub fn set_state(&self, id: &str, state: &str) {
+        self.change_entry(id, |entry| entry["State"] = json!(state));
+    }
+
+    /// Changes a server's entry.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the server has no entry.
+    pub fn change_entry(&self, id: &str, change: impl FnOnce(&mut Value)) {
         let key = format!("servers/{id}");
         let mut entry = self.store.get(&key).expect("the server has an entry");
-        entry["State"] = json!(state);
+        change(&mut entry);
         self.store.put(&key, &entry);
     }
 
