keepers: a keeper that is cut off takes no other one off the list

One keeper was cut off from all others, but not from the store, for 7.2 s. After 3 s it took four of the eight others off the list, one after the other, each in the 0.1 s before the next one was silent long enough. Half of all programs got new replicas under load; the list was still changing 28 s later when the last fault came, and no majority of old and new replicas came together again. Ruled out: the wiped keepers (each copied and was whole before), the store (it took every write), a full disk. Change: who is taken off is decided in lib; a keeper that hears of fewer others than may be lost at once takes none off.

--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -89,6 +89,27 @@
         majority.saturating_sub(if own { 2 } else { 1 })
     }
 
+    /// Returns a keeper to take off the list, of those that were `silent` for
+    /// long, if enough stay without it. `unheard` are all that are not heard of
+    /// now: if more than `faults` are, the asker is rather the one that is cut
+    /// off, and the others decide.
+    pub fn replaceable(
+        &self,
+        silent: &[Arc<str>],
+        unheard: &[Arc<str>],
+        faults: usize,
+    ) -> Option<&Keeper> {
+        let staying = || {
+            let keepers = self.keepers.iter();
+            keepers.filter(|keeper| keeper.standing != Standing::Leaving)
+        };
+        let lost = staying().filter(|keeper| unheard.contains(&keeper.node));
+        if staying().count() <= 2 * faults + 1 || lost.count() > faults {
+            return None;
+        }
+        staying().find(|keeper| silent.contains(&keeper.node))
+    }
+
     /// Returns a keeper's place in the list.
     pub fn place(&self, node: &str) -> Option<usize> {
         let mut keepers = self.keepers.iter();
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -13,7 +13,6 @@
 use limpetferry_lib::ask::Reply;
 use limpetferry_lib::effect::Note;
 use limpetferry_lib::ledger::ProgramDigest;
-use limpetferry_lib::membership::Keeper as Listed;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::membership::Standing;
 use limpetferry_platform::document;
@@ -41,6 +40,9 @@
 /// enough are left without it: a new VM counts as in its place some five
 /// seconds after it came, and a process that was killed is back sooner.
 const REPLACE_AFTER: Duration = Duration::from_millis(3_000);
+/// How long a keeper is silent before it counts as not heard of: a link that
+/// broke is dialled anew within it.
+const UNHEARD_AFTER: Duration = Duration::from_millis(500);
 /// Programs asked for at once.
 const FETCH: usize = 256;
 
@@ -274,15 +276,9 @@
         store: &mut PlatformStore,
         membership: &Membership,
     ) -> Result<(), PlatformError> {
-        let staying = membership.keepers.iter();
-        let staying: Vec<&Listed> = staying
-            .filter(|keeper| keeper.standing != Standing::Leaving)
-            .collect();
-        if staying.len() <= 2 * self.faults + 1 {
-            return Ok(());
-        }
         let silent = self.replicas.silent_for(REPLACE_AFTER);
-        let Some(gone) = staying.iter().find(|keeper| silent.contains(&keeper.node)) else {
+        let unheard = self.replicas.silent_for(UNHEARD_AFTER);
+        let Some(gone) = membership.replaceable(&silent, &unheard, self.faults) else {
             return Ok(());
         };
         self.keeper
