fleet: leave out servers that fail or fall silent while others answer

Ruled out: health probes (they say well, and are priced); leaving out for all failures of a service (a caller's own fault would take all servers out: at most a third are left out).

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -12,6 +12,7 @@
 use crate::cached::Cached;
 use crate::call::Part;
 use crate::hash;
+use crate::outlier::Health;
 use crate::place::Place;
 use crate::service_time::ServiceTime;
 use crate::service_time::Work;
@@ -104,6 +105,8 @@
 pub enum Outcome {
     /// The server answered.
     Answered,
+    /// The server answered that it failed.
+    Failed,
     /// The server refused for lack of room.
     Full,
     /// No connection was to be had, or it broke.
@@ -150,6 +153,9 @@
 /// Age at which a reported load has lost half of its weight: turns last some
 /// 0.6 s.
 const LOAD_AGE: Duration = Duration::from_millis(300);
+/// Most servers of a service that are left out as outliers, as a share of those
+/// that take requests.
+const MOST_OUT: f64 = 0.34;
 /// First pause after a broken connection; doubled for each one in a row.
 const BROKEN_PAUSE: Duration = Duration::from_millis(100);
 /// Longest such pause: a server that is back is found within this time.
@@ -181,6 +187,7 @@
     lapsed: Option<Time>,
     cached: Cached,
     slowness: Slowness,
+    health: Health,
 }
 
 impl Member {
@@ -196,6 +203,7 @@
             lapsed: None,
             cached: Cached::default(),
             slowness: Slowness::default(),
+            health: Health::default(),
         }
     }
 
@@ -219,6 +227,10 @@
         }
     }
 
+    fn is_out(&self, now: Time, learned: Learned<'_>) -> bool {
+        self.health.is_out(now, self.own, learned.times.answer())
+    }
+
     fn cost(&self, now: Time, key: ServerKey, learned: Learned<'_>, wish: &Wish<'_>) -> f64 {
         let Learned { times, switches } = learned;
         let work = self.work(now, wish.parts);
@@ -389,6 +401,7 @@
             times: self.times.get(service).unwrap_or(&unknown),
             switches: self.switches,
         };
+        let leave_out = self.may_leave_out(now, keys, learned);
         let mut best: Option<(bool, f64, ServerKey)> = None;
         let start = (wish.draw * keys.len() as f64) as usize;
         for at in 0..keys.len() {
@@ -397,7 +410,8 @@
                 continue;
             }
             let member = &self.members[key];
-            let paused = member.pause_until.is_some_and(|until| now < until);
+            let paused = member.pause_until.is_some_and(|until| now < until)
+                || leave_out && member.is_out(now, learned);
             let cost = member.cost(now, key, learned, wish);
             if best.is_none_or(|(p, c, _)| (paused, cost) < (p, c)) {
                 best = Some((paused, cost, key));
@@ -406,6 +420,17 @@
         best.map(|(_, _, key)| key)
     }
 
+    /// Returns whether outliers are left out: if most servers look like one, it
+    /// is not they.
+    fn may_leave_out(&self, now: Time, keys: &[ServerKey], learned: Learned<'_>) -> bool {
+        if !self.switches.outliers {
+            return false;
+        }
+        let ready = || keys.iter().filter(|&&key| self.takes(key));
+        let out = ready().filter(|&&key| self.members[key].is_out(now, learned));
+        out.count() as f64 <= ready().count() as f64 * MOST_OUT
+    }
+
     /// Notes that a request of this process goes to a server, and returns what
     /// it meets there.
     pub fn begin(&mut self, now: Time, key: ServerKey, wish: &Wish<'_>) -> Work {
@@ -414,6 +439,7 @@
         };
         let work = member.work(now, wish.parts);
         member.own += 1;
+        member.health.sent(now);
         for part in wish.parts {
             member.cached.add(*part);
         }
@@ -492,20 +518,33 @@
             return;
         };
         member.own = member.own.saturating_sub(1);
+        let times = self.times.get(&member.server.service);
+        let usual = times.map_or(Duration::ZERO, ServiceTime::answer);
         match outcome {
             Outcome::Answered => {
                 member.broken = 0;
                 member.pause_until = None;
+                member.health.observe(now, false);
             }
+            Outcome::Failed => member.health.observe(now, true),
             Outcome::Full => member.pause_until = Some(now + FULL_PAUSE),
             Outcome::Broken => {
                 let pause = BROKEN_PAUSE * 2_u32.pow(member.broken.min(4));
                 member.pause_until = Some(now + pause.min(LONGEST_PAUSE));
                 member.broken += 1;
+                member.health.observe(now, true);
             }
             Outcome::Replaced => member.pause_until = Some(now + LONGEST_PAUSE),
+            // The caller left, or its time was over: it says something of the
+            // server only if nothing came from there for long.
+            Outcome::Abandoned if member.health.is_silent(now, usual) => {
+                member.health.observe(now, true);
+            }
             Outcome::Abandoned => {}
         }
+        if outcome != Outcome::Abandoned || member.own == 0 {
+            member.health.heard();
+        }
     }
 
     /// Takes the load that a server reported.
@@ -513,6 +552,7 @@
         if let Some(member) = self.members.get_mut(key) {
             member.load = load;
             member.load_at = Some(now);
+            member.health.heard();
             member.own_then = member.own;
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod message;
 pub mod opening;
 pub mod outcome;
+pub mod outlier;
 pub mod owner;
 pub mod patch;
 pub mod place;
--- a/lib/src/service_time.rs
+++ b/lib/src/service_time.rs
@@ -21,7 +21,7 @@
 const PLAIN: [f64; 2] = [30.0, 100.0];
 /// Events of a stream before any is known.
 const EVENTS: f64 = 10.0;
-/// Weight of the newest stream in the mean number of events.
+/// Weight of the newest answer in means.
 const NEWEST: f64 = 0.02;
 /// Least time that a prompt token reads in, in ms, and that one more request
 /// costs, as part of a fair share of a server: load tells servers apart even
@@ -66,6 +66,8 @@
     event: Regression<2>,
     plain: Regression<2>,
     events: f64,
+    /// Mean time to an answer's first byte or event, in ms.
+    answer: f64,
 }
 
 impl Default for ServiceTime {
@@ -75,6 +77,7 @@
             event: Regression::new(EVENT),
             plain: Regression::new(PLAIN),
             events: EVENTS,
+            answer: FIRST_EVENT[0],
         }
     }
 }
@@ -83,6 +86,7 @@
     /// Learns from the first event of a stream.
     pub fn learn_first(&mut self, work: &Work, took: Duration) {
         self.first.learn(&work.first_input(), millis(took));
+        self.answer += (millis(took) - self.answer) * NEWEST;
     }
 
     /// Learns from the end of a stream of `events` events, that took so long
@@ -98,6 +102,12 @@
     /// Learns from a plain answer.
     pub fn learn_plain(&mut self, work: &Work, took: Duration) {
         self.plain.learn(&work.plain_input(), millis(took));
+        self.answer += (millis(took) - self.answer) * NEWEST;
+    }
+
+    /// Returns the mean time to an answer.
+    pub fn answer(&self) -> Duration {
+        Duration::from_secs_f64(self.answer.max(0.0) / 1_000.0)
     }
 
     /// Returns the time that so many prompt tokens are read in, in ms.
--- a/lib/src/switches.rs
+++ b/lib/src/switches.rs
@@ -15,6 +15,8 @@
     pub places: bool,
     /// Keeps away from servers that are slower than others.
     pub slowness: bool,
+    /// Leaves out servers that fail or are silent while others answer.
+    pub outliers: bool,
 }
 
 impl Default for Switches {
@@ -23,6 +25,7 @@
             times: true,
             places: true,
             slowness: true,
+            outliers: true,
         }
     }
 }
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -330,10 +330,15 @@
             }
         };
         let server = started.lease.server.clone();
+        let outcome = if started.head.status.is_server_error() {
+            Outcome::Failed
+        } else {
+            Outcome::Answered
+        };
         if started.head.status.is_success() {
             started.lease.observe_plain();
         }
-        started.lease.end(Outcome::Answered, true);
+        started.lease.end(outcome, true);
         self.gateway.answered(self, &server, started.head.status, 0);
         let mut response = Response::new(whole(body));
         *response.status_mut() = started.head.status;
