keepers: those that are left go on if a loss after a retirement stops all turns

Of three keepers one had been emptied and taken away, as the operator asked; then one of the two left lost power and disk. A majority of two is two: all turns were refused until it was back and had copied. Ruled out: the gateways rolled before (all ready at 12.6 s), load (refusals 'behind' came of keepers that did not answer). Change: if fewer than 2f+1 keepers are listed, none is changing, and those that are heard of are no majority, they leave the lost ones out of the list after 0.8 s, by compare-and-swap; only if at most f are lost and every majority before meets every majority after.

--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -110,6 +110,32 @@
         staying().find(|keeper| silent.contains(&keeper.node))
     }
 
+    /// Returns the list without the keepers that are `unheard`, if there are too
+    /// few for any to be replaced and none of the others could keep a turn
+    /// until they are back; `None` if the others can, or if a turn that counts
+    /// might be at none of them. All that stay hold every program, so that
+    /// there is nothing to copy.
+    ///
+    /// After one of three keepers was emptied and taken away, the loss of one
+    /// of the two left stopped all turns for as long as it lasted.
+    pub fn without_lost(&self, unheard: &[Arc<str>], faults: usize) -> Option<Self> {
+        let all = self.keepers.len();
+        let lost = |keeper: &Keeper| unheard.contains(&keeper.node);
+        let gone = self.keepers.iter().filter(|keeper| lost(keeper)).count();
+        let majority = all / 2 + 1;
+        let left = all - gone;
+        let is_stopped = !self.is_changing() && all <= 2 * faults && left < majority;
+        // A turn that counts is at a majority of the keepers: some of those
+        // that are left have it, and any majority of them meets these.
+        let is_safe = gone <= faults && left > 0 && majority + left / 2 + 1 > all;
+        if !is_stopped || !is_safe {
+            return None;
+        }
+        let mut next = self.renew();
+        next.keepers.retain(|keeper| !lost(keeper));
+        Some(next)
+    }
+
     /// Returns a keeper's place in the list.
     pub fn place(&self, node: &str) -> Option<usize> {
         let mut keepers = self.keepers.iter();
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -40,6 +40,10 @@
 /// enough are left without it: a new VM counts as in its place some five
 /// seconds after it came, and a process that was killed is back sooner.
 const REPLACE_AFTER: Duration = Duration::from_millis(3_000);
+/// How long a keeper is silent before those that are left go on without it, if
+/// no turn could be kept else: longer than a process takes to start again, so
+/// that it need not copy.
+const LOST_AFTER: Duration = Duration::from_millis(800);
 /// How long a keeper is silent before it counts as not heard of: a link that
 /// broke is dialled anew within it.
 const UNHEARD_AFTER: Duration = Duration::from_millis(500);
@@ -270,7 +274,7 @@
     }
 
     /// Takes a keeper off the list that was silent for long, if enough are
-    /// left without it.
+    /// left without it, or if the others cannot keep turns with it.
     async fn replace_silent(
         &self,
         store: &mut PlatformStore,
@@ -278,6 +282,13 @@
     ) -> Result<(), PlatformError> {
         let silent = self.replicas.silent_for(REPLACE_AFTER);
         let unheard = self.replicas.silent_for(UNHEARD_AFTER);
+        let lost = self.replicas.silent_for(LOST_AFTER);
+        let next = membership.without_lost(&lost, self.faults);
+        if next.is_some() && self.keeper.state().whole {
+            self.keeper
+                .note(Note::new("keepers_lost").with("keepers", lost.join(",")));
+            return self.swap(store, next).await;
+        }
         let Some(gone) = membership.replaceable(&silent, &unheard, self.faults) else {
             return Ok(());
         };
--- a/net/tests/platform_failures.rs
+++ b/net/tests/platform_failures.rs
@@ -50,6 +50,16 @@
     String::from_utf8_lossy(&longest.body).into_owned()
 }
 
+/// Returns how many keepers are listed for good.
+fn members(site: &PlatformSite) -> usize {
+    let list = site.store.get("limpetferry/keepers").expect("a list");
+    let keepers = list["keepers"].as_array().expect("a list has keepers");
+    let members = keepers
+        .iter()
+        .filter(|keeper| keeper["standing"] == "member");
+    members.count()
+}
+
 fn chain(turns: usize) -> String {
     let output = whole_output();
     format!("{}in;", format!("in;{output}").repeat(turns - 1))
@@ -199,6 +209,34 @@
     });
 }
 
+#[test]
+fn after_a_keeper_was_taken_away_the_loss_of_another_stops_no_turns() {
+    smol::block_on(async {
+        let mut site = site().await;
+        let first = served_turn(&site, 0, None).await;
+        let request = serde_json::json!({"DurationS": 10});
+        site.store.put("op/retire/keeper-2", &request);
+        site.wait_until(|site| {
+            let status = site.store.get("status/retire/keeper-2");
+            status.is_some_and(|status| status["State"] == "complete")
+        })
+        .await;
+        site.process("keeper-2").kill();
+
+        site.process("keeper-1").kill();
+        site.wipe(1);
+        site.wait_until(|site| members(site) == 1).await;
+        let second = served_turn(&site, 0, Some(&first)).await;
+        site.start_keeper(1);
+        site.wait_until(|site| members(site) == 2).await;
+        site.process("keeper-0").kill();
+        site.wait_until(|site| members(site) == 1).await;
+        served_turn(&site, 0, Some(&second)).await;
+
+        assert_eq!(last_body(&site), chain(3));
+    });
+}
+
 #[test]
 fn a_planned_stop_ends_what_was_begun_and_says_that_it_is_not_ready() {
     smol::block_on(async {
