fleet: servers, candidates and wishes in files of their own; a start without born is named by its address

Read again, a place at a server that does not say when it started also matched its next start at another address, since only the id named it. Behaviour as before but for the start's digest. The test of it covers both cases now.

--- /dev/null
+++ b/lib/src/candidate.rs
@@ -0,0 +1,210 @@
+//! One server as a place for the next request: what is known of its load, its
+//! memory and its answers, and what a request would cost there.
+
+use std::time::Duration;
+
+use crate::cached::Cached;
+use crate::call::Part;
+use crate::hash;
+use crate::outlier::Health;
+use crate::server::Load;
+use crate::server::Outcome;
+use crate::server::Server;
+use crate::service_time::ServiceTime;
+use crate::service_time::Work;
+use crate::slowness::Slowness;
+use crate::switches::Switches;
+use crate::time::Time;
+use crate::wish::ServerKey;
+use crate::wish::Wish;
+
+/// Part of a prompt's reading that each request at the server waits for: an
+/// engine reads between the tokens of all that run.
+const READ_HARM: f64 = 0.5;
+/// Cost of leaving the data centre, in ms: two ways of 1.4 ms, and the bytes.
+const FAR_MS: f64 = 4.0;
+/// Cost of a new connection, in ms: a round trip of 2 ms before the request,
+/// a place at the server for 1 ms, and work at both ends.
+const CONNECT_MS: f64 = 4.0;
+/// Gain of a server that handled the object before, in ms.
+const OBJECT_MS: f64 = 8.0;
+/// Age at which a reported load has lost half of its weight: turns last some
+/// 0.6 s.
+const LOAD_AGE: Duration = Duration::from_millis(300);
+/// First pause after a broken connection; doubled for each one in a row.
+const BROKEN_PAUSE: Duration = Duration::from_millis(100);
+/// Longest such pause: a server that is back is found within this time.
+const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
+/// Pause after a refusal for lack of room: some requests end within it.
+const FULL_PAUSE: Duration = Duration::from_millis(40);
+/// What the cost of a server depends on that is the same for all of a service.
+#[derive(Clone, Copy)]
+pub(crate) struct Learned<'a> {
+    /// Times of the service.
+    pub(crate) times: &'a ServiceTime,
+    /// Decisions that are made.
+    pub(crate) switches: Switches,
+}
+
+/// One server.
+#[derive(Debug)]
+pub(crate) struct Candidate {
+    /// How it describes itself.
+    pub(crate) server: Server,
+    /// Requests of this process that are under way there.
+    own: u32,
+    load: Load,
+    /// Own requests under way when the load was reported.
+    own_then: u32,
+    load_at: Option<Time>,
+    broken: u32,
+    pause_until: Option<Time>,
+    /// The entry is gone, and the server is to be kept until then only.
+    pub(crate) lapsed: Option<Time>,
+    pub(crate) cached: Cached,
+    pub(crate) slowness: Slowness,
+    health: Health,
+}
+
+impl Candidate {
+    pub(crate) fn new(server: Server) -> Self {
+        Self {
+            server,
+            own: 0,
+            load: Load::default(),
+            own_then: 0,
+            load_at: None,
+            broken: 0,
+            pause_until: None,
+            lapsed: None,
+            cached: Cached::default(),
+            slowness: Slowness::default(),
+            health: Health::default(),
+        }
+    }
+
+    fn others(&self, now: Time) -> f64 {
+        let Some(at) = self.load_at else {
+            return 0.0;
+        };
+        let all = f64::from(self.load.running + self.load.waiting);
+        let others = (all - f64::from(self.own_then)).max(0.0);
+        let halves = now.since(at).as_secs_f64() / LOAD_AGE.as_secs_f64();
+        // Half of it is taken as lasting: other processes send on.
+        others * (0.5 + 0.5 * (-halves).exp2())
+    }
+
+    /// Returns what a request would meet at this server.
+    pub(crate) fn work(&self, now: Time, parts: &[Part]) -> Work {
+        Work {
+            cold: self.cached.cold(parts),
+            others: f64::from(self.own) + self.others(now),
+            slots: f64::from(self.server.slots),
+        }
+    }
+
+    /// Returns whether it is an outlier among the servers of its service.
+    pub(crate) fn is_out(&self, now: Time, learned: Learned<'_>) -> bool {
+        self.health.is_out(now, self.own, learned.times.answer())
+    }
+
+    /// Returns what a request would cost there, in ms.
+    pub(crate) fn cost(
+        &self,
+        now: Time,
+        key: ServerKey,
+        learned: Learned<'_>,
+        wish: &Wish<'_>,
+    ) -> f64 {
+        let Learned { times, switches } = learned;
+        let work = self.work(now, wish.parts);
+        let mut cost = if wish.parts.is_empty() {
+            times.plain_cost(&work)
+        } else {
+            times.stream_cost(&work) + READ_HARM * work.others * times.read(work.cold)
+        };
+        if switches.slowness {
+            cost *= self.slowness.factor(now);
+        }
+        if &*self.server.centre != wish.centre {
+            cost += FAR_MS;
+        }
+        let connected = wish.connected;
+        if connected.is_some_and(|connected| !connected.has(key)) {
+            cost += CONNECT_MS;
+        }
+        if wish
+            .object
+            .is_some_and(|object| self.cached.has(digest(object)))
+        {
+            cost -= OBJECT_MS;
+        }
+        cost
+    }
+
+    /// Returns whether it just failed.
+    pub(crate) fn is_paused(&self, now: Time) -> bool {
+        self.pause_until.is_some_and(|until| now < until)
+    }
+
+    /// Notes that a request of this process goes there, and returns what it
+    /// meets.
+    pub(crate) fn begin(&mut self, now: Time, wish: &Wish<'_>) -> Work {
+        let work = self.work(now, wish.parts);
+        self.own += 1;
+        self.health.sent(now);
+        for part in wish.parts {
+            self.cached.add(*part);
+        }
+        if let Some(object) = wish.object {
+            self.cached.add(Part {
+                id: digest(object),
+                tokens: 0,
+            });
+        }
+        work
+    }
+
+    /// Notes how a request of this process ended, where answers take `usual` on
+    /// the mean.
+    pub(crate) fn end(&mut self, now: Time, outcome: Outcome, usual: Duration) {
+        self.own = self.own.saturating_sub(1);
+        match outcome {
+            Outcome::Answered => {
+                self.broken = 0;
+                self.pause_until = None;
+                self.health.observe(now, false);
+            }
+            Outcome::Failed => self.health.observe(now, true),
+            Outcome::Full => self.pause_until = Some(now + FULL_PAUSE),
+            Outcome::Broken => {
+                let pause = BROKEN_PAUSE * 2_u32.pow(self.broken.min(4));
+                self.pause_until = Some(now + pause.min(LONGEST_PAUSE));
+                self.broken += 1;
+                self.health.observe(now, true);
+            }
+            Outcome::Replaced => self.pause_until = Some(now + LONGEST_PAUSE),
+            // The caller left, or its time was over: it says something of the
+            // server only if nothing came from there for long.
+            Outcome::Abandoned if self.health.is_silent(now, usual) => {
+                self.health.observe(now, true);
+            }
+            Outcome::Abandoned => {}
+        }
+        if outcome != Outcome::Abandoned || self.own == 0 {
+            self.health.heard();
+        }
+    }
+
+    /// Takes the load that it reported.
+    pub(crate) fn report(&mut self, now: Time, load: Load) {
+        self.load = load;
+        self.load_at = Some(now);
+        self.own_then = self.own;
+        self.health.heard();
+    }
+}
+
+fn digest(text: &str) -> u64 {
+    hash::fnv(text.bytes())
+}
--- a/lib/tests/cached.rs
+++ b/lib/tests/cached.rs
@@ -6,13 +6,13 @@
 use limpetferry_lib::cached::Cached;
 use limpetferry_lib::call::Part;
 use limpetferry_lib::fleet::Fleet;
-use limpetferry_lib::fleet::Outcome;
-use limpetferry_lib::fleet::Server;
-use limpetferry_lib::fleet::ServerState;
-use limpetferry_lib::fleet::Wish;
 use limpetferry_lib::place::Place;
 use limpetferry_lib::place::Places;
+use limpetferry_lib::server::Outcome;
+use limpetferry_lib::server::Server;
+use limpetferry_lib::server::ServerState;
 use limpetferry_lib::time::Time;
+use limpetferry_lib::wish::Wish;
 
 const SHARED: u64 = 1;
 const LINE: u64 = 2;
@@ -103,21 +103,23 @@
 #[test]
 fn a_place_at_a_server_that_has_started_again_names_none() {
     let first = gateway();
-    let mut second = gateway();
     let key = first.key("server-1").expect("it is known");
     let place = first.place(key, part(LINE, 9_000)).expect("it is known");
-    let again = Server {
-        born: Some(7),
-        address: ([10, 0, 0, 9], 9_000).into(),
-        ..server(1)
-    };
+    for born in [Some(7), None] {
+        let mut second = gateway();
+        let again = Server {
+            born,
+            address: ([10, 0, 0, 9], 9_000).into(),
+            ..server(1)
+        };
 
-    second.put(again);
-    second.take_places(&[place]);
-    let key = second.key("server-1").expect("it is known");
-    let work = second.begin(Time::default(), key, &turn(&[part(LINE, 9_500)]));
+        second.put(again);
+        second.take_places(&[place]);
+        let key = second.key("server-1").expect("it is known");
+        let work = second.begin(Time::default(), key, &turn(&[part(LINE, 9_500)]));
 
-    assert_eq!(work.cold, 9_500);
+        assert_eq!(work.cold, 9_500);
+    }
 }
 
 #[test]
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -7,16 +7,16 @@
 
 use limpetferry_lib::call::Part;
 use limpetferry_lib::fleet::Arrival;
-use limpetferry_lib::fleet::Connected;
 use limpetferry_lib::fleet::Fleet;
 use limpetferry_lib::fleet::LAPSE_WAIT;
-use limpetferry_lib::fleet::Load;
-use limpetferry_lib::fleet::Outcome;
-use limpetferry_lib::fleet::Server;
-use limpetferry_lib::fleet::ServerKey;
-use limpetferry_lib::fleet::ServerState;
-use limpetferry_lib::fleet::Wish;
+use limpetferry_lib::server::Load;
+use limpetferry_lib::server::Outcome;
+use limpetferry_lib::server::Server;
+use limpetferry_lib::server::ServerState;
 use limpetferry_lib::time::Time;
+use limpetferry_lib::wish::Connected;
+use limpetferry_lib::wish::ServerKey;
+use limpetferry_lib::wish::Wish;
 
 fn server(number: u16) -> Server {
     Server {
--- a/lib/tests/outlier.rs
+++ b/lib/tests/outlier.rs
@@ -5,12 +5,12 @@
 use std::time::Duration;
 
 use limpetferry_lib::fleet::Fleet;
-use limpetferry_lib::fleet::Outcome;
-use limpetferry_lib::fleet::Server;
-use limpetferry_lib::fleet::ServerKey;
-use limpetferry_lib::fleet::ServerState;
-use limpetferry_lib::fleet::Wish;
+use limpetferry_lib::server::Outcome;
+use limpetferry_lib::server::Server;
+use limpetferry_lib::server::ServerState;
 use limpetferry_lib::time::Time;
+use limpetferry_lib::wish::ServerKey;
+use limpetferry_lib::wish::Wish;
 
 const SERVERS: u16 = 6;
 /// Time of a good answer; a failure comes at once.
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -9,14 +9,14 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use limpetferry_lib::call::Part;
-use limpetferry_lib::fleet::Outcome;
-use limpetferry_lib::fleet::ServerKey;
-use limpetferry_lib::fleet::Wish;
 use limpetferry_lib::place::Place;
 use limpetferry_lib::routing::Kind;
+use limpetferry_lib::server::Outcome;
 use limpetferry_lib::service_time::Work;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::urgency;
+use limpetferry_lib::wish::ServerKey;
+use limpetferry_lib::wish::Wish;
 use limpetferry_platform::header;
 use limpetferry_platform::header::Dispatch;
 
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -13,10 +13,10 @@
 use hyper::body::Incoming;
 use limpetferry_lib::events::Event;
 use limpetferry_lib::events::Splitter;
-use limpetferry_lib::fleet::Outcome;
-use limpetferry_lib::fleet::ServerKey;
 use limpetferry_lib::place::Place;
 use limpetferry_lib::routing::Kind;
+use limpetferry_lib::server::Outcome;
+use limpetferry_lib::wish::ServerKey;
 use limpetferry_platform::header;
 
 use crate::attempt::Failure;
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -12,13 +12,13 @@
 use hyper::StatusCode;
 use limpetferry_lib::call::Program;
 use limpetferry_lib::effect::Note;
-use limpetferry_lib::fleet::ServerKey;
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::load_shed::LoadShed;
 use limpetferry_lib::retry_hint::RetryHints;
 use limpetferry_lib::routing::Limits;
 use limpetferry_lib::time::Time;
+use limpetferry_lib::wish::ServerKey;
 use prometheus::core::Collector as _;
 
 use crate::attempt::Failure;
--- a/net/src/pool.rs
+++ b/net/src/pool.rs
@@ -6,9 +6,9 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use limpetferry_lib::fleet::Connected;
-use limpetferry_lib::fleet::ServerKey;
 use limpetferry_lib::time::Time;
+use limpetferry_lib::wish::Connected;
+use limpetferry_lib::wish::ServerKey;
 
 use crate::http::HttpError;
 use crate::http::Sender;
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -14,10 +14,10 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use limpetferry_lib::call::Call;
-use limpetferry_lib::fleet::Outcome;
 use limpetferry_lib::ledger::Begin;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::routing::Route;
+use limpetferry_lib::server::Outcome;
 use limpetferry_lib::time::Time;
 use limpetferry_platform::header;
 
--- a/net/src/steps.rs
+++ b/net/src/steps.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use limpetferry_lib::effect::Note;
-use limpetferry_lib::fleet::Load;
+use limpetferry_lib::server::Load;
 use limpetferry_lib::service_time::Work;
 
 /// Milliseconds from a request's first byte to each step, and the requests that
