fleet: slowness taken out; what is remembered of prompts ages; born for the first time is a new start

A slow server shows in the load that it tells. A server whose entry says born for the first time, at the address that it had, was taken for the same start.

--- a/lib/src/cached.rs
+++ b/lib/src/cached.rs
@@ -1,12 +1,18 @@
 //! What a server keeps of prompts, as far as one process knows.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use crate::call::Part;
+use crate::time::Time;
 
 /// Parts and objects remembered for each server; the older half goes first. An
 /// engine's memory holds some tens of lines of turns.
 const MOST: usize = 4_096;
+/// How long a part that nobody asked for is remembered at least: programs
+/// pause for seconds. Without it a gateway in front of 12,000 servers would
+/// remember what it sent them for days.
+const MEMORY: Duration = Duration::from_secs(60);
 
 /// The parts of prompts that a server read, and how much of each. A line of
 /// turns is one part that grows with each turn.
@@ -14,14 +20,18 @@
 pub struct Cached {
     young: HashMap<u64, u64>,
     old: HashMap<u64, u64>,
+    /// When the older half was last forgotten.
+    turned: Option<Time>,
 }
 
 impl Cached {
     /// Notes that the server has read a part, or so much of it.
-    pub fn add(&mut self, part: Part) {
+    pub fn add(&mut self, now: Time, part: Part) {
         let tokens = part.tokens.max(self.tokens(part.id));
-        if self.young.len() >= MOST / 2 {
+        let turned = *self.turned.get_or_insert(now);
+        if self.young.len() >= MOST / 2 || now.since(turned) > MEMORY {
             self.old = std::mem::take(&mut self.young);
+            self.turned = Some(now);
         }
         self.young.insert(part.id, tokens);
     }
--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -12,8 +12,6 @@
 use crate::server::Server;
 use crate::service_time::ServiceTime;
 use crate::service_time::Work;
-use crate::slowness::Slowness;
-use crate::switches::Switches;
 use crate::time::Time;
 use crate::wish::ServerKey;
 use crate::wish::Wish;
@@ -37,14 +35,6 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(1_600);
 /// Pause after a refusal for lack of room: some requests end within it.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
-/// What the cost of a server depends on that is the same for all of a service.
-#[derive(Clone, Copy)]
-pub(crate) struct Learned<'a> {
-    /// Times of the service.
-    pub(crate) times: &'a ServiceTime,
-    /// Decisions that are made.
-    pub(crate) switches: Switches,
-}
 
 /// One server.
 #[derive(Debug)]
@@ -62,7 +52,6 @@
     /// The entry is gone, and the server is to be kept until then only.
     pub(crate) lapsed: Option<Time>,
     pub(crate) cached: Cached,
-    pub(crate) slowness: Slowness,
     health: Health,
 }
 
@@ -78,7 +67,6 @@
             pause_until: None,
             lapsed: None,
             cached: Cached::default(),
-            slowness: Slowness::default(),
             health: Health::default(),
         }
     }
@@ -104,8 +92,8 @@
     }
 
     /// Returns whether it is an outlier among the servers of its service.
-    pub(crate) fn is_out(&self, now: Time, learned: Learned<'_>) -> bool {
-        self.health.is_out(now, self.own, learned.times.answer())
+    pub(crate) fn is_out(&self, now: Time, times: &ServiceTime) -> bool {
+        self.health.is_out(now, self.own, times.answer())
     }
 
     /// Returns what a request would cost there, in ms.
@@ -113,19 +101,15 @@
         &self,
         now: Time,
         key: ServerKey,
-        learned: Learned<'_>,
+        times: &ServiceTime,
         wish: &Wish<'_>,
     ) -> f64 {
-        let Learned { times, switches } = learned;
         let work = self.work(now, wish.parts);
         let mut cost = if wish.parts.is_empty() {
             times.plain_cost(&work)
         } else {
             times.stream_cost(&work) + READ_HARM * work.others * times.read(work.cold)
         };
-        if switches.slowness {
-            cost *= self.slowness.factor(now);
-        }
         if &*self.server.centre != wish.centre {
             cost += FAR_MS;
         }
@@ -154,13 +138,11 @@
         self.own += 1;
         self.health.sent(now);
         for part in wish.parts {
-            self.cached.add(*part);
+            self.cached.add(now, *part);
         }
         if let Some(object) = wish.object {
-            self.cached.add(Part {
-                id: digest(object),
-                tokens: 0,
-            });
+            let id = digest(object);
+            self.cached.add(now, Part { id, tokens: 0 });
         }
         work
     }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -9,7 +9,6 @@
 
 use crate::call::Part;
 use crate::candidate::Candidate;
-use crate::candidate::Learned;
 use crate::place::Place;
 use crate::server::Load;
 use crate::server::Outcome;
@@ -176,11 +175,8 @@
     pub fn pick(&self, now: Time, service: &str, wish: &Wish<'_>) -> Option<ServerKey> {
         let keys = self.services.get(service)?;
         let unknown = ServiceTime::default();
-        let learned = Learned {
-            times: self.times.get(service).unwrap_or(&unknown),
-            switches: self.switches,
-        };
-        let leave_out = self.may_leave_out(now, keys, learned);
+        let times = self.times.get(service).unwrap_or(&unknown);
+        let leave_out = self.may_leave_out(now, keys, times);
         let mut best: Option<(bool, f64, ServerKey)> = None;
         let start = (wish.draw * keys.len() as f64) as usize;
         for at in 0..keys.len() {
@@ -189,8 +185,8 @@
                 continue;
             }
             let member = &self.members[key];
-            let paused = member.is_paused(now) || leave_out && member.is_out(now, learned);
-            let cost = member.cost(now, key, learned, wish);
+            let paused = member.is_paused(now) || leave_out && member.is_out(now, times);
+            let cost = member.cost(now, key, times, wish);
             if best.is_none_or(|(p, c, _)| (paused, cost) < (p, c)) {
                 best = Some((paused, cost, key));
             }
@@ -200,12 +196,12 @@
 
     /// Returns whether outliers are left out: if most servers look like one, it
     /// is not they.
-    fn may_leave_out(&self, now: Time, keys: &[ServerKey], learned: Learned<'_>) -> bool {
+    fn may_leave_out(&self, now: Time, keys: &[ServerKey], times: &ServiceTime) -> bool {
         if !self.switches.outliers {
             return false;
         }
         let ready = || keys.iter().filter(|&&key| self.takes(key));
-        let out = ready().filter(|&&key| self.members[key].is_out(now, learned));
+        let out = ready().filter(|&&key| self.members[key].is_out(now, times));
         out.count() as f64 <= ready().count() as f64 * MOST_OUT
     }
 
@@ -217,38 +213,33 @@
     }
 
     /// Learns from the first event of a stream.
-    pub fn first_event(&mut self, now: Time, key: ServerKey, work: &Work, took: Duration) {
-        let Some((member, times)) = self.learner(key) else {
-            return;
-        };
-        member.slowness.observe(now, times.first_event(work), took);
-        times.learn_first(work, took);
+    pub fn first_event(&mut self, key: ServerKey, work: &Work, took: Duration) {
+        if let Some(times) = self.learner(key) {
+            times.learn_first(work, took);
+        }
     }
 
     /// Learns from the end of a stream that took so long after its first
     /// event.
     pub fn stream_end(&mut self, key: ServerKey, work: &Work, took: Duration, events: u64) {
-        if let Some((_, times)) = self.learner(key) {
+        if let Some(times) = self.learner(key) {
             times.learn_stream(work, took, events);
         }
     }
 
     /// Learns from a plain answer.
-    pub fn plain_end(&mut self, now: Time, key: ServerKey, work: &Work, took: Duration) {
-        let Some((member, times)) = self.learner(key) else {
-            return;
-        };
-        member.slowness.observe(now, times.plain(work), took);
-        times.learn_plain(work, took);
+    pub fn plain_end(&mut self, key: ServerKey, work: &Work, took: Duration) {
+        if let Some(times) = self.learner(key) {
+            times.learn_plain(work, took);
+        }
     }
 
-    fn learner(&mut self, key: ServerKey) -> Option<(&mut Candidate, &mut ServiceTime)> {
+    fn learner(&mut self, key: ServerKey) -> Option<&mut ServiceTime> {
         if !self.switches.times {
             return None;
         }
-        let member = self.members.get_mut(key)?;
-        let service = member.server.service.clone();
-        Some((member, self.times.entry(service).or_default()))
+        let service = self.members.get(key)?.server.service.clone();
+        Some(self.times.entry(service).or_default())
     }
 
     /// Returns what was learned of each service.
@@ -264,14 +255,14 @@
 
     /// Takes what others know of where parts of prompts are kept. A place at an
     /// earlier start of a server names none.
-    pub fn take_places(&mut self, places: &[Place]) {
+    pub fn take_places(&mut self, now: Time, places: &[Place]) {
         if !self.switches.places {
             return;
         }
         for place in places {
             let key = self.starts.get(&place.start);
             if let Some(member) = key.and_then(|&key| self.members.get_mut(key)) {
-                member.cached.add(place.part);
+                member.cached.add(now, place.part);
             }
         }
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -53,7 +53,6 @@
 pub mod service_time;
 pub mod shard;
 pub mod side;
-pub mod slowness;
 pub mod speed;
 pub mod sse;
 mod submission;
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -48,12 +48,14 @@
         matches!((self.born, other.born), (Some(own), Some(other)) if own < other)
     }
 
-    /// Returns whether this describes the same start as `other`. A server that
-    /// does not say when it started keeps its address as long as it runs.
+    /// Returns whether this describes the same start as `other`, which was known
+    /// before. A server that says when it started says so as long as it runs;
+    /// one that does not keeps its address as long.
     pub(crate) fn is_same_start(&self, other: &Self) -> bool {
         let same = match (self.born, other.born) {
             (Some(own), Some(other)) => own == other,
-            _ => self.address == other.address,
+            (Some(_), None) => false,
+            (None, _) => self.address == other.address,
         };
         same && self.service == other.service
     }
--- a/lib/src/service_time.rs
+++ b/lib/src/service_time.rs
@@ -122,11 +122,6 @@
             .max(self.read(work.cold))
     }
 
-    /// Returns the expected time of a plain request, in ms.
-    pub fn plain(&self, work: &Work) -> f64 {
-        self.plain.value(&work.plain_input()).max(1.0)
-    }
-
     /// Returns what a stream costs at a server, in ms: its own time, and what
     /// waits before it.
     pub fn stream_cost(&self, work: &Work) -> f64 {
--- a/lib/src/switches.rs
+++ b/lib/src/switches.rs
@@ -13,8 +13,6 @@
     pub times: bool,
     /// Learns from the replicas of a program where its prompts are kept.
     pub places: bool,
-    /// Keeps away from servers that are slower than others.
-    pub slowness: bool,
     /// Leaves out servers that fail or are silent while others answer.
     pub outliers: bool,
 }
@@ -24,7 +22,6 @@
         Self {
             times: true,
             places: true,
-            slowness: true,
             outliers: true,
         }
     }
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -305,6 +305,22 @@
     assert_eq!(fleet.ready("engine"), 2);
 }
 
+#[test]
+fn a_server_that_first_says_when_it_started_has_started_again() {
+    let mut fleet = fleet(1);
+    let old = fleet.key("server-0");
+    let again = Server {
+        born: Some(7),
+        ..server(0)
+    };
+
+    let arrival = fleet.put(again.clone());
+    let same = fleet.put(again);
+
+    assert_eq!((arrival, same), (Arrival::Restarted, Arrival::Known));
+    assert_ne!(fleet.key("server-0"), old);
+}
+
 #[test]
 fn an_entry_of_an_earlier_start_that_comes_late_changes_nothing() {
     let mut fleet = fleet(2);
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -65,7 +65,7 @@
         self.first = Some(now);
         let took = now.since(self.sent);
         let mut known = self.gateway.site.known();
-        known.fleet.first_event(now, self.key, &self.work, took);
+        known.fleet.first_event(self.key, &self.work, took);
     }
 
     /// Notes that a stream whose first event was noted has ended whole.
@@ -80,10 +80,9 @@
 
     /// Notes that a plain answer is here whole.
     pub fn observe_plain(&self) {
-        let now = self.gateway.clock.now();
-        let took = now.since(self.sent);
+        let took = self.gateway.clock.now().since(self.sent);
         let mut known = self.gateway.site.known();
-        known.fleet.plain_end(now, self.key, &self.work, took);
+        known.fleet.plain_end(self.key, &self.work, took);
     }
 
     /// Returns where the prompt is kept now, with `made` tokens of output.
@@ -93,9 +92,10 @@
             id: last.id,
             tokens: last.tokens + made,
         };
+        let now = self.gateway.clock.now();
         let mut known = self.gateway.site.known();
         let place = known.fleet.place(self.key, part)?;
-        known.fleet.take_places(&[place]);
+        known.fleet.take_places(now, &[place]);
         Some(place)
     }
 
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -283,7 +283,7 @@
         })?;
         self.reach(Step::Opened);
         let mut known = self.gateway.site.known();
-        known.fleet.take_places(&open.places);
+        known.fleet.take_places(self.now(), &open.places);
         drop(known);
         if kept {
             self.body = open.prompt.clone();
