keepers: only the last of two goes on alone; joining keepers deny no turn

Cause: read again, leaving lost keepers out was unsafe with more than two. Of four with two down, one of the two left may just have lost its disk; a turn that is at those three only would have been given up with the two, though one disk was lost where two may be. And a keeper that was left out while it was down, not wiped, comes back believing itself whole: its 'never' made a 404 by the count of two voices (1 + 1 >= 2) for turns that the other one kept alone meanwhile. Ruled out: the same for lists of 2f+1 and more: a keeper that rejoins there is one of f+2 voices that a 404 needs. Change: Membership::without_lost only with two keepers, where a majority is both; Membership::denies counts members, not joining ones.

--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -4,6 +4,7 @@
 //! any two majorities share a keeper. While the list of keepers changes, the
 //! replicas of both lists count, each with a majority of its own.
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -110,25 +111,19 @@
         staying().find(|keeper| silent.contains(&keeper.node))
     }
 
-    /// Returns the list without the keepers that are `unheard`, if there are too
-    /// few for any to be replaced and none of the others could keep a turn
-    /// until they are back; `None` if the others can, or if a turn that counts
-    /// might be at none of them. All that stay hold every program, so that
-    /// there is nothing to copy.
+    /// Returns the list without the keepers that are `unheard`, if only one is
+    /// left and it has all that counts; `None` otherwise. That is so with two
+    /// keepers: a majority of two is both. With more, one that is left may have
+    /// lost its disk, and what counts may be at those that are unheard alone.
     ///
     /// After one of three keepers was emptied and taken away, the loss of one
     /// of the two left stopped all turns for as long as it lasted.
     pub fn without_lost(&self, unheard: &[Arc<str>], faults: usize) -> Option<Self> {
-        let all = self.keepers.len();
         let lost = |keeper: &Keeper| unheard.contains(&keeper.node);
         let gone = self.keepers.iter().filter(|keeper| lost(keeper)).count();
-        let majority = all / 2 + 1;
-        let left = all - gone;
-        let is_stopped = !self.is_changing() && all <= 2 * faults && left < majority;
-        // A turn that counts is at a majority of the keepers: some of those
-        // that are left have it, and any majority of them meets these.
-        let is_safe = gone <= faults && left > 0 && majority + left / 2 + 1 > all;
-        if !is_stopped || !is_safe {
+        let all = self.keepers.len();
+        let is_at_each = all / 2 + 1 == all;
+        if self.is_changing() || !is_at_each || gone + 1 != all || !(1..=faults).contains(&gone) {
             return None;
         }
         let mut next = self.renew();
@@ -136,6 +131,19 @@
         Some(next)
     }
 
+    /// Returns whether a turn does not exist, since so many keepers `never` had
+    /// it that no majority can. The voices of those that join do not count:
+    /// they may hold an earlier state, and have not copied yet.
+    pub fn denies(&self, never: &HashSet<Arc<str>>, faults: usize) -> bool {
+        let members = || {
+            let keepers = self.keepers.iter();
+            keepers.filter(|keeper| keeper.standing != Standing::Joining)
+        };
+        let voices = members().filter(|keeper| never.contains(&keeper.node));
+        let voices = voices.count();
+        voices > 0 && voices + faults >= members().count()
+    }
+
     /// Returns a keeper's place in the list.
     pub fn place(&self, node: &str) -> Option<usize> {
         let mut keepers = self.keepers.iter();
--- a/lib/tests/membership.rs
+++ b/lib/tests/membership.rs
@@ -70,16 +70,16 @@
 }
 
 #[test]
-fn those_that_are_left_go_on_if_no_majority_is() {
-    let list = left_of(5, &[0]);
+fn the_one_of_two_that_is_left_goes_on() {
+    let list = left_of(5, &[0, 1, 2]);
 
-    let next = list.without_lost(&names(&[1, 2]), FAULTS);
+    let next = list.without_lost(&names(&[3]), FAULTS);
 
-    let next = next.expect("two of four are no majority");
-    assert_eq!(next.keepers.len(), 2);
+    let next = next.expect("one of two is no majority");
+    assert_eq!(next.keepers.len(), 1);
+    assert_eq!(&*next.keepers[0].node, "keeper-4");
     assert!(next.epoch > list.epoch && !next.is_changing());
-    let all = next.replicas("program", FAULTS);
-    assert!(all.majority(|_| true) && !all.majority(|at| at == 0));
+    assert!(next.replicas("program", FAULTS).majority(|_| true));
 }
 
 #[test]
@@ -87,44 +87,45 @@
     assert_matches!(left_of(5, &[0]).without_lost(&names(&[1]), FAULTS), None);
     assert_matches!(keepers(5).without_lost(&names(&[1, 2]), FAULTS), None);
     assert_matches!(keepers(9).without_lost(&names(&[1, 2]), FAULTS), None);
+    assert_matches!(left_of(5, &[0, 1, 2]).without_lost(&[], FAULTS), None);
 }
 
 #[test]
 fn none_is_dropped_if_a_turn_might_be_at_none_of_the_others() {
-    // More than may be lost at once; and two of three, which alone may hold
-    // what counts.
+    // Of four, two are down, and one of the two that are left may just have
+    // lost its disk: what those three kept is at the two that are down.
     let four = left_of(5, &[0]);
     let three = left_of(5, &[0, 1]);
 
+    assert_matches!(four.without_lost(&names(&[1, 2]), FAULTS), None);
     assert_matches!(four.without_lost(&names(&[1, 2, 3]), FAULTS), None);
     assert_matches!(three.without_lost(&names(&[2, 3]), FAULTS), None);
 }
 
 #[test]
-fn every_majority_before_meets_every_majority_after() {
-    for faults in 1..4 {
-        for all in 1..=2 * faults {
-            let list = Membership {
-                open: true,
-                keepers: keepers(all as u16).keepers,
-                ..Membership::default()
-            };
-            let mut list = list;
-            for keeper in &mut list.keepers {
-                keeper.standing = limpetferry_lib::membership::Standing::Member;
-                keeper.ready = true;
-            }
-            for gone in 1..=all {
-                let lost: Vec<u16> = (0..gone as u16).collect();
-                let Some(next) = list.without_lost(&names(&lost), faults) else {
-                    continue;
-                };
-                let before = all / 2 + 1;
-                let after = next.keepers.len() / 2 + 1;
-                // The fewest of a majority before that are left.
-                let left = before.saturating_sub(gone);
-                assert!(left + after > next.keepers.len(), "{all} less {gone}");
-            }
-        }
-    }
+fn none_is_dropped_while_the_list_changes() {
+    let list = left_of(5, &[0, 1, 2]);
+    let address = ([10, 0, 0, 1], 9_000).into();
+
+    let joining = list.join("new", address, FAULTS).expect("it is new");
+
+    assert_matches!(joining.without_lost(&names(&[3]), FAULTS), None);
+    let unheard = [&names(&[3])[..], &["new".into()]].concat();
+    assert_matches!(joining.without_lost(&unheard, FAULTS), None);
+}
+
+#[test]
+fn a_keeper_that_comes_back_denies_no_turn_before_it_has_copied() {
+    // It was left out of a list of two while it was down; the other one kept
+    // turns alone since.
+    let list = left_of(5, &[0, 3, 4]);
+    let alone = list.without_lost(&names(&[1]), 1).expect("one is left");
+    let back = list.keepers[0].address;
+    let back = alone.join("keeper-1", back, 1).expect("it is not listed");
+    let never = |numbers: &[u16]| names(numbers).into_iter().collect();
+
+    assert!(!back.denies(&never(&[1]), 1));
+    assert!(back.denies(&never(&[2]), 1));
+    assert!(!keepers(5).denies(&never(&[0, 1]), 2));
+    assert!(keepers(5).denies(&never(&[0, 1, 2]), 2));
 }
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -40,8 +40,8 @@
 /// enough are left without it: a new VM counts as in its place some five
 /// seconds after it came, and a process that was killed is back sooner.
 const REPLACE_AFTER: Duration = Duration::from_millis(3_000);
-/// How long a keeper is silent before those that are left go on without it, if
-/// no turn could be kept else: longer than a process takes to start again, so
+/// How long one of two keepers is silent before the other one goes on without it,
+/// since no turn could be kept else: longer than a process takes to start again, so
 /// that it need not copy.
 const LOST_AFTER: Duration = Duration::from_millis(800);
 /// How long a keeper is silent before it counts as not heard of: a link that
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -382,7 +382,7 @@
                     smol::Timer::after(ASK_AGAIN / 4).await;
                 }
             }
-            if never.len() + self.faults >= membership.keepers.len() && !never.is_empty() {
+            if membership.denies(&never, self.faults) {
                 return Err(TurnRefusal::NoPrevious);
             }
         }
