keepers: one that is cut off is not followed

Ruled out: the gateway's own fallback (it watches the store itself as soon as a keeper says that it is away), the later races of versions. Change: a keeper that hears of fewer others than may be lost says that it is away, so that gateways ask another one or the store. Test: a_keeper_that_hears_of_too_few_others_is_not_relied_on, in lib; none with processes yet.

--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -90,6 +90,17 @@
         majority.saturating_sub(if own { 2 } else { 1 })
     }
 
+    /// Returns whether a keeper that does not hear of the keepers `unheard` is
+    /// rather cut off itself, since more are than may be lost at once. What it
+    /// says of the platform's store is not to be relied on then: its watch may
+    /// have been silent for as long.
+    pub fn is_cut_off(&self, unheard: &[Arc<str>], faults: usize) -> bool {
+        let staying = self.keepers.iter();
+        let staying = staying.filter(|keeper| keeper.standing != Standing::Leaving);
+        let lost = staying.filter(|keeper| unheard.contains(&keeper.node));
+        lost.count() > faults
+    }
+
     /// Returns a keeper to take off the list, of those that were `silent` for
     /// long, if enough stay without it. `unheard` are all that are not heard of
     /// now: if more than `faults` are, the asker is rather the one that is cut
@@ -104,8 +115,7 @@
             let keepers = self.keepers.iter();
             keepers.filter(|keeper| keeper.standing != Standing::Leaving)
         };
-        let lost = staying().filter(|keeper| unheard.contains(&keeper.node));
-        if staying().count() <= 2 * faults + 1 || lost.count() > faults {
+        if staying().count() <= 2 * faults + 1 || self.is_cut_off(unheard, faults) {
             return None;
         }
         staying().find(|keeper| silent.contains(&keeper.node))
--- a/lib/tests/membership.rs
+++ b/lib/tests/membership.rs
@@ -129,3 +129,13 @@
     assert!(!keepers(5).denies(&never(&[0, 1]), 2));
     assert!(keepers(5).denies(&never(&[0, 1, 2]), 2));
 }
+
+#[test]
+fn a_keeper_that_hears_of_too_few_others_is_not_relied_on() {
+    // Its watch of the store may be as silent as its links.
+    let three = keepers(3);
+
+    assert!(three.is_cut_off(&names(&[1, 2]), 1));
+    assert!(!three.is_cut_off(&names(&[1]), 1));
+    assert!(!left_of(5, &[0, 1, 2]).is_cut_off(&names(&[3]), 1));
+}
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -47,6 +47,10 @@
 /// How long a keeper is silent before it counts as not heard of: a link that
 /// broke is dialled anew within it.
 const UNHEARD_AFTER: Duration = Duration::from_millis(500);
+/// How long too many keepers are silent before those that follow this one are
+/// sent to another: the links' own pings have taken a second by then, and what
+/// is accepted has to be in force everywhere in two.
+const CUT_OFF_AFTER: Duration = Duration::from_millis(100);
 /// Programs asked for at once.
 const FETCH: usize = 256;
 
@@ -115,6 +119,9 @@
         };
         let whole = self.keeper.state().whole;
         self.replicas.dial(&membership);
+        let unheard = self.replicas.silent_for(CUT_OFF_AFTER);
+        let cut_off = membership.is_cut_off(&unheard, self.faults);
+        self.keeper.set_cut_off(cut_off);
         if retiring {
             return self.retire(store, &membership).await;
         }
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -84,6 +86,8 @@
     meters: KeeperMeters,
     most: u64,
     state: Mutex<State>,
+    /// Whether it hears of too few other keepers.
+    cut_off: AtomicBool,
 }
 
 impl Keeper {
@@ -217,14 +221,14 @@
         smol::spawn(async move {
             let waiting = self.site.wait_news();
             let mut news = self.site.news(after);
-            if news.is_none() && !self.site.is_away() {
+            if news.is_none() && !self.is_away() {
                 within(follow::HOLD, waiting.recv()).await;
                 news = self.site.news(after);
             }
             let reply = news.unwrap_or_else(|| Reply::Changes {
                 changes: Vec::new(),
                 revision: self.site.known().revision,
-                away: self.site.is_away(),
+                away: self.is_away(),
             });
             // The asker may have left.
             let _ = sender.try_send(KeeperMessage::Tell(ticket, reply));
@@ -232,6 +236,20 @@
         .detach();
     }
 
+    /// Notes whether it seems to be cut off from the other keepers.
+    pub fn set_cut_off(&self, cut_off: bool) {
+        if self.cut_off.swap(cut_off, Ordering::Relaxed) != cut_off {
+            let event = if cut_off { "cut_off" } else { "reconnected" };
+            self.note(Note::new(event));
+        }
+    }
+
+    /// Returns whether those that follow it do better with another keeper: the
+    /// store does not answer it, or nothing may come from there unnoticed.
+    fn is_away(&self) -> bool {
+        self.site.is_away() || self.cut_off.load(Ordering::Relaxed)
+    }
+
     fn is_stale(&self, epoch: u64) -> bool {
         epoch < self.site.known().keepers.epoch
     }
@@ -438,6 +456,7 @@
         meters: KeeperMeters::new()?,
         most,
         state: Mutex::new(State { ledger, whole }),
+        cut_off: false.into(),
         site: site.clone(),
     });
     let hello = Hello {
