keepers: change the list without undoing others, copy once a change, one writes for all

Three reasons, from the logs: a keeper that had copied wrote a list made of the one from before the copying under the present revision, undoing what others wrote (seven lists with the number of the one before them); each such write had all others copy anew (6,401 copies in 20 s); each of 24 keepers wrote for itself. In the store's own calls: 24 watches woken by each change. Ruled out: too few copies (all were on disk), slow copying (28 ms each, p90 64), the store's limits. Change: a change is made of the list that is known when it is written; what was copied counts until programs move to keepers that stay (`moved`); what keepers wish goes to one of them, which writes it together; as many keepers as a program has replicas watch the store, the others and the gateways follow them, and a gateway that starts asks keepers before the store; a new list goes to disk within 50 ms.

--- a/lib/src/ask.rs
+++ b/lib/src/ask.rs
@@ -12,6 +12,7 @@
 use crate::ledger::Presence;
 use crate::ledger::ProgramDigest;
 use crate::ledger::Record;
+use crate::membership::ListWish;
 use crate::membership::Membership;
 use crate::opening::View;
 use crate::place::Place;
@@ -108,6 +109,8 @@
         /// Revision of the store up to which the asker knows it.
         after: u64,
     },
+    /// Write into the list of keepers what the asker wishes there.
+    Wish(ListWish),
 }
 
 impl Question {
@@ -121,6 +124,7 @@
             Self::Digests { .. } => "digests",
             Self::Records { .. } => "records",
             Self::Follow { .. } => "follow",
+            Self::Wish(_) => "wish",
         }
     }
 }
@@ -165,7 +169,12 @@
         programs: usize,
     },
     /// All that is known from the platform's store.
-    Snapshot(Snapshot),
+    Snapshot {
+        /// The items.
+        snapshot: Snapshot,
+        /// Whether the store does not answer the keeper.
+        away: bool,
+    },
     /// What has changed in the platform's store.
     Changes {
         /// The changes, if there are any.
@@ -176,6 +185,8 @@
         /// later ones.
         away: bool,
     },
+    /// What was wished is written with what others wish, if the store takes it.
+    Taken,
     /// The asker goes by an old list.
     Stale(Membership),
     /// The keeper cannot do it now.
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -13,6 +13,10 @@
 
 use crate::hash;
 
+/// Stands for the platform's store where the keepers that watch it are chosen
+/// as a program's replicas are.
+const WATCHED: &str = "platform store";
+
 /// What a change of the list makes of a keeper.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -38,11 +42,35 @@
     pub ready: bool,
 }
 
+/// What a keeper wants the list to say of it.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ListWish {
+    /// It comes.
+    Join {
+        /// Its name.
+        node: Arc<str>,
+        /// Its address for the system's other processes.
+        address: SocketAddr,
+    },
+    /// It has copied all that it has to hold.
+    Ready {
+        /// Its name.
+        node: Arc<str>,
+        /// [`Membership::moved`] of the list by which it copied.
+        moved: u64,
+    },
+}
+
 /// The list of keepers.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
     /// Number of the list; later ones are larger.
     pub epoch: u64,
+    /// Epoch of the last list by which keepers that stay got programs that they
+    /// did not hold. What was copied by that list or a later one need not be
+    /// copied again: since then every turn came to all that have to hold it.
+    #[serde(default)]
+    pub moved: u64,
     /// Whether turns may be kept: enough keepers came once.
     pub open: bool,
     /// The keepers, in the order in which they came.
@@ -137,6 +165,7 @@
             return None;
         }
         let mut next = self.renew();
+        next.moved = next.epoch;
         next.keepers.retain(|keeper| !lost(keeper));
         Some(next)
     }
@@ -154,6 +183,35 @@
         voices > 0 && voices + faults >= members().count()
     }
 
+    /// Returns the keepers that watch the platform's store for all others, in
+    /// an order that all processes agree on: as many as a program has replicas,
+    /// so that some are left whatever may be lost. Each change of the store
+    /// costs a call a watch, so that watches must not grow with the keepers.
+    pub fn watchers(&self, faults: usize) -> Vec<&Keeper> {
+        let staying = self.keepers.iter();
+        let mut staying: Vec<&Keeper> = staying
+            .filter(|keeper| keeper.standing != Standing::Leaving)
+            .collect();
+        staying.sort_by_key(|keeper| std::cmp::Reverse(weight(&keeper.node, WATCHED)));
+        staying.truncate(2 * faults + 1);
+        staying
+    }
+
+    /// Returns the list with all that keepers wish; `None` if it has it already.
+    pub fn with(&self, wishes: &[ListWish], faults: usize) -> Option<Self> {
+        let mut next: Option<Self> = None;
+        for wish in wishes {
+            let list = next.as_ref().unwrap_or(self);
+            let changed = match wish {
+                ListWish::Join { node, address } => list.join(node, *address, faults),
+                ListWish::Ready { node, moved } if *moved == list.moved => list.ready(node),
+                ListWish::Ready { .. } => None,
+            };
+            next = changed.or(next);
+        }
+        next
+    }
+
     /// Returns a keeper's place in the list.
     pub fn place(&self, node: &str) -> Option<usize> {
         let mut keepers = self.keepers.iter();
@@ -188,8 +246,7 @@
     /// `2 * faults + 1` keepers came no turn was ever kept, and a keeper comes
     /// without anything to catch up with.
     pub fn join(&self, node: &str, address: SocketAddr, faults: usize) -> Option<Self> {
-        let mut next = self.clone();
-        next.epoch += 1;
+        let mut next = self.renew();
         if let Some(at) = self.place(node) {
             if self.keepers[at].address == address {
                 return None;
@@ -225,8 +282,8 @@
     /// is not in it.
     pub fn leave(&self, node: &str) -> Option<Self> {
         let at = self.place(node)?;
-        let mut next = self.clone();
-        next.epoch += 1;
+        let mut next = self.renew();
+        next.moved = next.epoch;
         match self.keepers[at].standing {
             Standing::Leaving => return None,
             Standing::Joining => {
@@ -249,8 +306,7 @@
         if self.keepers[at].ready || !self.is_changing() {
             return None;
         }
-        let mut next = self.clone();
-        next.epoch += 1;
+        let mut next = self.renew();
         next.keepers[at].ready = true;
         let mut after = next.keepers.iter();
         if after.all(|keeper| keeper.ready || keeper.standing == Standing::Leaving) {
--- a/lib/tests/membership.rs
+++ b/lib/tests/membership.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
+use limpetferry_lib::membership::ListWish;
 use limpetferry_lib::membership::Membership;
 
 const FAULTS: usize = 2;
@@ -139,3 +140,77 @@
     assert!(!three.is_cut_off(&names(&[1]), 1));
     assert!(!left_of(5, &[0, 1, 2]).is_cut_off(&names(&[3]), 1));
 }
+
+/// Hundreds of VMs: 24 keepers, of which five watch the platform's store.
+#[test]
+fn as_many_keepers_watch_the_store_as_a_program_has_replicas() {
+    let list = keepers(24);
+    let watchers = |list: &Membership| -> Vec<Arc<str>> {
+        let watchers = list.watchers(FAULTS).into_iter();
+        watchers.map(|keeper| keeper.node.clone()).collect()
+    };
+    let before = watchers(&list);
+
+    let without = list.leave(&before[1]).expect("it is in the list");
+    let after = watchers(&without);
+
+    assert_eq!(before.len(), 2 * FAULTS + 1);
+    let stay = before.iter().filter(|node| after.contains(node)).count();
+    assert_eq!(
+        (stay, after.len()),
+        (4, 5),
+        "only the one that left changes"
+    );
+    assert_eq!(watchers(&keepers(3)).len(), 3);
+}
+
+#[test]
+fn what_many_keepers_wish_takes_one_list() {
+    let list = keepers(9).leave(&name(4)).expect("it is in the list");
+    let ready = |number| ListWish::Ready {
+        node: name(number).into(),
+        moved: list.moved,
+    };
+    let staying = [0, 1, 2, 3, 5, 6, 7, 8];
+    let mut wishes: Vec<ListWish> = staying.into_iter().map(ready).collect();
+    let address = ([10, 0, 0, 1], 9_000).into();
+    let node = "new".into();
+    wishes.push(ListWish::Join { node, address });
+
+    let next = list.with(&wishes, FAULTS).expect("it is another list");
+
+    assert_eq!(next.place(&name(4)), None, "the change has ended");
+    assert!(next.is_changing(), "the new one is joining");
+    assert_matches!(next.with(&wishes, FAULTS), None);
+}
+
+#[test]
+fn what_was_copied_before_programs_moved_makes_no_keeper_ready() {
+    let first = keepers(9).leave(&name(4)).expect("it is in the list");
+    let then = first.leave(&name(5)).expect("it is in the list");
+    let node: Arc<str> = name(1).into();
+    let old = ListWish::Ready {
+        node: node.clone(),
+        moved: first.moved,
+    };
+    let new = ListWish::Ready {
+        node,
+        moved: then.moved,
+    };
+
+    assert_matches!(then.with(&[old], FAULTS), None);
+    assert_matches!(then.with(&[new], FAULTS), Some(_));
+}
+
+#[test]
+fn nothing_is_copied_again_because_others_come_or_are_ready() {
+    let leaving = keepers(9).leave(&name(4)).expect("it is in the list");
+    let address = ([10, 0, 0, 1], 9_000).into();
+
+    let joining = leaving.join("new", address, FAULTS).expect("it is new");
+    let ready = joining.ready(&name(1)).expect("it was not");
+
+    assert!(ready.epoch > joining.epoch && joining.epoch > leaving.epoch);
+    assert_eq!(ready.moved, leaving.moved);
+    assert!(leaving.moved > keepers(9).moved);
+}
--- a/lib/tests/turn_world/mod.rs
+++ b/lib/tests/turn_world/mod.rs
@@ -131,7 +131,8 @@
     disk: Vec<Record>,
     written: Vec<(Record, usize, Waits)>,
     membership: Membership,
-    copied: BTreeSet<Arc<str>>,
+    /// From whom it copied, and since which list programs had not moved then.
+    copied: BTreeSet<(u64, Arc<str>)>,
     /// Whether the list was renewed since the disk was lost.
     renewed: bool,
 }
@@ -679,13 +680,14 @@
         if keeper.membership.epoch < list.epoch {
             let keeper = self.keepers.get_mut(&name).expect("it was named");
             keeper.membership = list.clone();
-            keeper.copied.clear();
         }
         self.copy_from(&name, &other, &list);
         let copied = &self.keepers[&name].copied;
         let others = list.keepers.iter();
         let others = others.filter(|k| k.node != name && k.standing != Standing::Joining);
-        let missing = others.filter(|k| !copied.contains(&k.node)).count();
+        let missing = others
+            .filter(|k| !copied.contains(&(list.moved, k.node.clone())))
+            .count();
         if missing > list.may_miss(&name, had, self.faults) {
             return;
         }
@@ -719,7 +721,7 @@
                 keeper.disk.push(record);
             }
         }
-        keeper.copied.insert(other.clone());
+        keeper.copied.insert((list.moved, other.clone()));
     }
 
     fn join(&mut self) {
--- a/net/src/follow.rs
+++ b/net/src/follow.rs
@@ -27,98 +27,131 @@
 /// Wait for the answer of a keeper to which there is no link yet.
 const SEED_WAIT: Duration = Duration::from_millis(300);
 
-/// Lets a gateway follow one keeper after the other for as long as it runs, so
-/// that it needs no watch of its own.
-pub async fn follow(
-    site: Arc<Site>,
-    replicas: Arc<Replicas>,
-    hello: Hello,
-    seeds: Vec<SocketAddr>,
-    clock: Clock,
-) {
-    let mut turn = rand::random::<u32>() as usize;
-    loop {
-        if !ask_once(&site, &replicas, &hello, &seeds, turn, Some(clock)).await {
-            turn = turn.wrapping_add(1);
-            smol::Timer::after(NEXT_PAUSE).await;
+/// Follows keepers for what the platform's store holds.
+pub struct Follower {
+    /// What is known.
+    pub site: Arc<Site>,
+    /// Links to the keepers.
+    pub replicas: Arc<Replicas>,
+    /// What the process says of itself.
+    pub hello: Hello,
+    /// Keepers that are asked while none is known.
+    pub seeds: Vec<SocketAddr>,
+    /// Keepers that may be lost at once.
+    pub faults: usize,
+    /// The process's clock.
+    pub clock: Clock,
+}
+
+impl Follower {
+    /// Lets a gateway follow one keeper after the other for as long as it runs,
+    /// so that it needs no watch of its own.
+    pub async fn follow(self) {
+        let mut turn = first_turn();
+        loop {
+            self.step(&mut turn, true).await;
         }
     }
-}
 
-/// Lets a keeper ask the other ones for as long as it runs, while the store
-/// does not answer it. It goes on asking the store: if keepers relied on each
-/// other, none would.
-pub async fn follow_when_away(
-    site: Arc<Site>,
-    replicas: Arc<Replicas>,
-    hello: Hello,
-    seeds: Vec<SocketAddr>,
-) {
-    let mut turn = rand::random::<u32>() as usize;
-    loop {
-        if site.is_away() {
-            ask_once(&site, &replicas, &hello, &seeds, turn, None).await;
-            turn = turn.wrapping_add(1);
+    /// Lets a keeper follow those that watch the store. One that watches itself
+    /// asks the others only while the store does not answer it, and goes on
+    /// asking the store: if they relied on each other, none would.
+    pub async fn follow_as_keeper(self) {
+        let mut turn = first_turn();
+        loop {
+            let watches = self.watches();
+            if !watches || self.site.is_away() {
+                self.step(&mut turn, !watches).await;
+            } else {
+                smol::Timer::after(NEXT_PAUSE).await;
+            }
         }
-        smol::Timer::after(NEXT_PAUSE).await;
     }
-}
 
-/// Asks one keeper, or the seeds if none is known; returns whether it hears
-/// from the store. That is noted where a clock is given.
-async fn ask_once(
-    site: &Site,
-    replicas: &Replicas,
-    hello: &Hello,
-    seeds: &[SocketAddr],
-    turn: usize,
-    clock: Option<Clock>,
-) -> bool {
-    let keepers = site.known().keepers.clone();
-    if !keepers.keepers.is_empty() {
-        return follow_one(site, replicas, &keepers, turn, clock).await;
+    fn watches(&self) -> bool {
+        let keepers = self.site.known().keepers.clone();
+        let watchers = keepers.watchers(self.faults);
+        let own = self.hello.node.as_str();
+        watchers.is_empty() || watchers.iter().any(|keeper| &*keeper.node == own)
     }
-    if site.is_away() {
-        ask_seeds(site, hello, seeds).await;
+
+    /// Asks one keeper, or the seeds if none is known, and goes on to the next
+    /// one unless it hears from the store. Whether this process `relies` on what
+    /// it says, so that it need not ask the store itself, is noted.
+    async fn step(&self, turn: &mut usize, relies: bool) {
+        let keepers = self.site.known().keepers.clone();
+        let hears = match self.next(&keepers, *turn) {
+            Some(node) => self.ask(&node, relies).await,
+            None => {
+                if self.site.is_away() {
+                    ask_seeds(&self.site, &self.hello, &self.seeds).await;
+                }
+                false
+            }
+        };
+        if !hears || !relies {
+            *turn = turn.wrapping_add(1);
+            smol::Timer::after(NEXT_PAUSE).await;
+        }
     }
-    false
-}
 
-/// Asks a keeper for news; returns whether it hears from the store.
-async fn follow_one(
-    site: &Site,
-    replicas: &Replicas,
-    keepers: &Membership,
-    turn: usize,
-    clock: Option<Clock>,
-) -> bool {
-    let node = &keepers.keepers[turn % keepers.keepers.len()].node;
-    let after = site.known().revision;
-    let (sender, heard) = async_channel::unbounded();
-    if !replicas.ask(node, Question::Follow { after }, &sender) {
-        return false;
+    /// Returns the keeper to ask: one that watches the store, or in each second
+    /// turn any one while the store does not answer this process, since those
+    /// that watch may be out of its reach too.
+    fn next(&self, keepers: &Membership, turn: usize) -> Option<Arc<str>> {
+        let watchers = keepers.watchers(self.faults);
+        let others = self.site.is_away() && turn % 2 == 1;
+        if others {
+            let count = keepers.keepers.len();
+            return Some(keepers.keepers.get(turn / 2 % count.max(1))?.node.clone());
+        }
+        let turn = if self.site.is_away() { turn / 2 } else { turn };
+        let count = watchers.len().max(1);
+        Some(watchers.get(turn % count)?.node.clone())
     }
-    let heard = within(HOLD + ANSWER_SPARE, heard.recv()).await;
-    match heard.and_then(|heard| heard.ok()?.reply) {
-        Some(Reply::Snapshot(snapshot)) => {
-            site.take_snapshot(snapshot, node);
-            false
+
+    /// Asks a keeper for news; returns whether it hears from the store.
+    async fn ask(&self, node: &str, relies: bool) -> bool {
+        let known = self.site.known().revision;
+        // Without news a keeper holds its answer: what is asked for once more
+        // has it answer at once, and so say whether it hears from the store.
+        let after = if relies && !self.site.is_fed() {
+            known.saturating_sub(1)
+        } else {
+            known
+        };
+        let (sender, heard) = async_channel::unbounded();
+        let question = Question::Follow { after };
+        if !self.replicas.ask(node, question, &sender) {
+            return false;
         }
-        Some(Reply::Changes {
-            changes,
-            revision,
-            away,
-        }) => {
-            site.take_changes(changes, revision);
-            if let (false, Some(clock)) = (away, clock) {
-                site.note_fed(clock.now());
+        let heard = within(HOLD + ANSWER_SPARE, heard.recv()).await;
+        let away = match heard.and_then(|heard| heard.ok()?.reply) {
+            Some(Reply::Snapshot { snapshot, away }) => {
+                self.site.take_snapshot(snapshot, node);
+                away
+            }
+            Some(Reply::Changes {
+                changes,
+                revision,
+                away,
+            }) => {
+                self.site.take_changes(changes, revision);
+                away
             }
-            !away
+            _ => true,
+        };
+        if relies && !away {
+            self.site.note_fed(self.clock.now());
         }
-        _ => false,
+        !away
     }
 }
 
+fn first_turn() -> usize {
+    rand::random::<u32>() as usize
+}
+
 /// Asks all seeds at once and takes the first answer: some of them may be down
 /// just when everything starts.
 async fn ask_seeds(site: &Site, hello: &Hello, seeds: &[SocketAddr]) {
@@ -128,7 +161,7 @@
         .map(|seed| {
             let (seed, hello, sender) = (seed.to_string(), hello.clone(), sender.clone());
             smol::spawn(async move {
-                if let Some(Reply::Snapshot(snapshot)) = ask_seed(&seed, &hello).await {
+                if let Some(Reply::Snapshot { snapshot, .. }) = ask_seed(&seed, &hello).await {
                     // The first answer is enough.
                     let _ = sender.send((seed, snapshot)).await;
                 }
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -23,7 +23,7 @@
 
 use crate::attempt::Failure;
 use crate::clock::Clock;
-use crate::follow;
+use crate::follow::Follower;
 use crate::gateway_settings::GatewaySettings;
 use crate::held::Held;
 use crate::http;
@@ -327,21 +327,22 @@
     let (changed, changes) = async_channel::bounded(1);
     let site = Site::new(&common.node, clock, changed);
     site.known().fleet.set_switches(settings.switches);
+    site.set_follower(true);
     let hello = Hello {
         node: NodeId::new(&common.node),
         boot: Boot(rand::random()),
         key: common.key_digest(),
     };
     let replicas = Replicas::new(hello.clone(), clock);
-    let seeds = common.seeds.clone();
-    smol::spawn(follow::follow(
-        site.clone(),
-        replicas.clone(),
+    let follower = Follower {
+        site: site.clone(),
+        replicas: replicas.clone(),
         hello,
-        seeds,
+        seeds: common.seeds.clone(),
+        faults: common.faults,
         clock,
-    ))
-    .detach();
+    };
+    smol::spawn(follower.follow()).detach();
     let turns = Turns::new(site.clone(), replicas.clone(), common.faults, clock);
     let gateway = Arc::new(Gateway {
         node: common.node.clone(),
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -13,8 +13,10 @@
 use limpetferry_lib::ask::Reply;
 use limpetferry_lib::effect::Note;
 use limpetferry_lib::ledger::ProgramDigest;
+use limpetferry_lib::membership::ListWish;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::membership::Standing;
+use limpetferry_lib::time::Time;
 use limpetferry_platform::document;
 use limpetferry_platform::document::RetireState;
 use limpetferry_platform::store::ReplyError;
@@ -51,6 +53,12 @@
 /// sent to another: the links' own pings have taken a second by then, and what
 /// is accepted has to be in force everywhere in two.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(100);
+/// How long a keeper waits for another one to write what it wishes into the
+/// list: several of its looks, calls to the store and news of them.
+const WRITER_WAIT: Duration = Duration::from_millis(1_000);
+/// How long wishes are gathered before they are written together: each write is
+/// a call, and wakes all that watch. Keepers copy for some two seconds.
+const WISH_GATHER: Duration = Duration::from_millis(300);
 /// Programs asked for at once.
 const FETCH: usize = 256;
 
@@ -61,8 +69,11 @@
     store: SocketAddr,
     address: SocketAddr,
     faults: usize,
-    /// Keepers from which all was copied, with the epoch of the list.
+    /// Keepers from which all was copied, and since which list programs had not
+    /// moved then.
     copied: Mutex<HashSet<(u64, Arc<str>)>>,
+    /// What another keeper was last asked to write into the list, and when.
+    wished: Mutex<Option<(ListWish, Time)>>,
     /// Whether the list was renewed since this keeper lost its disk.
     renewed: AtomicBool,
     /// What the operator was last told of the emptying.
@@ -83,6 +94,7 @@
             address: settings.common.reachable(),
             faults: settings.common.faults,
             copied: Mutex::default(),
+            wished: Mutex::default(),
             renewed: false.into(),
             reported: Mutex::default(),
         })
@@ -125,10 +137,19 @@
         if retiring {
             return self.retire(store, &membership).await;
         }
+        let wishes = self.keeper.wishes(WISH_GATHER, WRITER_WAIT);
+        self.swap(store, |list| list.with(&wishes, self.faults))
+            .await?;
         let node = self.keeper.node.as_str();
-        let joined = membership.join(node, self.address, self.faults);
-        let (None, Some(at)) = (&joined, membership.place(node)) else {
-            return self.swap(store, joined).await;
+        let wish = ListWish::Join {
+            node: node.into(),
+            address: self.address,
+        };
+        let Some(at) = membership.place(node).filter(|_| {
+            let wish = std::slice::from_ref(&wish);
+            membership.with(wish, self.faults).is_none()
+        }) else {
+            return self.wish(store, &membership, wish).await;
         };
         let own = &membership.keepers[at];
         if own.standing == Standing::Leaving {
@@ -140,7 +161,7 @@
         // A keeper that joins never held a program by this list.
         let had = own.standing == Standing::Member && !whole;
         if had && !self.renewed.swap(true, Ordering::Relaxed) {
-            let result = self.renew(store, &membership).await;
+            let result = self.renew(store).await;
             self.renewed
                 .store(matches!(result, Ok(true)), Ordering::Relaxed);
             return result.map(|_| ());
@@ -149,14 +170,71 @@
             if !whole {
                 self.set_whole().await;
             }
-            return self.swap(store, membership.ready(node)).await;
+            let node = node.into();
+            let moved = membership.moved;
+            let wish = ListWish::Ready { node, moved };
+            return self.wish(store, &membership, wish).await;
         }
         self.replace_silent(store, &membership).await
     }
 
+    /// Returns the keeper that writes the list for all that this one hears of:
+    /// of many that write, one at a time succeeds, and each try is a call.
+    fn writer<'a>(&self, membership: &'a Membership) -> Option<&'a str> {
+        let watchers = membership.watchers(self.faults);
+        let mut nodes = watchers.into_iter().map(|keeper| &*keeper.node);
+        nodes.find(|node| self.is_own(node) || self.replicas.is_linked(node))
+    }
+
+    fn is_own(&self, node: &str) -> bool {
+        *node == *self.keeper.node
+    }
+
+    /// Has the list say what this keeper wishes: by the one that writes for all,
+    /// or by itself if that one has not done so for a while.
+    async fn wish(
+        &self,
+        store: &mut PlatformStore,
+        membership: &Membership,
+        wish: ListWish,
+    ) -> Result<(), PlatformError> {
+        let wishes = std::slice::from_ref(&wish);
+        if membership.with(wishes, self.faults).is_none() {
+            return Ok(());
+        }
+        let writer = self.writer(membership);
+        if writer.is_some_and(|writer| !self.is_own(writer) && self.ask_writer(writer, &wish)) {
+            return Ok(());
+        }
+        self.swap(store, |list| list.with(wishes, self.faults))
+            .await?;
+        Ok(())
+    }
+
+    /// Asks the keeper that writes the list; returns whether it is still to be
+    /// waited for.
+    fn ask_writer(&self, writer: &str, wish: &ListWish) -> bool {
+        let now = self.keeper.clock.now();
+        let mut wished = self.wished.lock().expect("no panic while locked");
+        if let Some((last, since)) = &*wished
+            && last == wish
+        {
+            return now.since(*since) < WRITER_WAIT;
+        }
+        // The list shows what came of it.
+        let (sender, _) = async_channel::unbounded();
+        let asked = self
+            .replicas
+            .ask(writer, Question::Wish(wish.clone()), &sender);
+        *wished = asked.then(|| (wish.clone(), now));
+        asked
+    }
+
     /// Copies what the other keepers have and this one has to hold. What was
-    /// copied from a keeper in this life of the process and by this list is
-    /// not copied again: what came since came here too.
+    /// copied from a keeper in this life of the process, by this list or one
+    /// since which no programs have moved, is not copied again: what came since
+    /// came here too. A change of 24 keepers takes one round of copies so, and
+    /// not one for each keeper that is done.
     async fn catch_up(&self, membership: &Membership, had: bool) -> bool {
         let node = self.keeper.node.as_str();
         let others = membership.keepers.iter();
@@ -167,7 +245,7 @@
         let may_miss = membership.may_miss(node, had, self.faults);
         let mut missing = 0;
         for other in &others {
-            let copied = (membership.epoch, other.clone());
+            let copied = (membership.moved, other.clone());
             if self
                 .copied
                 .lock()
@@ -189,7 +267,7 @@
                 .with("millis", self.keeper.clock.now().since(start).as_millis());
             self.keeper.note(note);
             let mut all = self.copied.lock().expect("no panic while locked");
-            all.retain(|(epoch, _)| *epoch == membership.epoch);
+            all.retain(|(moved, _)| *moved == membership.moved);
             all.insert(copied);
         }
         missing <= may_miss
@@ -287,21 +365,35 @@
         store: &mut PlatformStore,
         membership: &Membership,
     ) -> Result<(), PlatformError> {
-        let silent = self.replicas.silent_for(REPLACE_AFTER);
+        let is_writer = self
+            .writer(membership)
+            .is_some_and(|node| self.is_own(node));
+        let replace_after = if is_writer {
+            REPLACE_AFTER
+        } else {
+            REPLACE_AFTER * 2
+        };
+        let silent = self.replicas.silent_for(replace_after);
         let unheard = self.replicas.silent_for(UNHEARD_AFTER);
         let lost = self.replicas.silent_for(LOST_AFTER);
-        let next = membership.without_lost(&lost, self.faults);
-        if next.is_some() && self.keeper.state().whole {
+        let without_lost = |list: &Membership| list.without_lost(&lost, self.faults);
+        if without_lost(membership).is_some() && self.keeper.state().whole {
             self.keeper
                 .note(Note::new("keepers_lost").with("keepers", lost.join(",")));
-            return self.swap(store, next).await;
+            self.swap(store, without_lost).await?;
+            return Ok(());
         }
         let Some(gone) = membership.replaceable(&silent, &unheard, self.faults) else {
             return Ok(());
         };
         self.keeper
             .note(Note::new("keeper_replaced").with("keeper", &gone.node));
-        self.swap(store, membership.leave(&gone.node)).await
+        self.swap(store, |list| {
+            let gone = list.replaceable(&silent, &unheard, self.faults)?;
+            list.leave(&gone.node)
+        })
+        .await?;
+        Ok(())
     }
 
     async fn retire(
@@ -314,7 +406,7 @@
         if let Some(at) = listed
             && membership.keepers[at].standing != Standing::Leaving
         {
-            self.swap(store, membership.leave(node)).await?;
+            self.swap(store, |list| list.leave(node)).await?;
         }
         let state = if listed.is_some() {
             RetireState::Running
@@ -350,50 +442,45 @@
 
     /// Puts the list under a new epoch before a keeper that lost its disk
     /// copies anything. Returns whether that was done.
-    async fn renew(
-        &self,
-        store: &mut PlatformStore,
-        membership: &Membership,
-    ) -> Result<bool, PlatformError> {
-        let next = membership.renew();
-        let epoch = next.epoch;
-        self.swap(store, Some(next)).await?;
-        let done = self.keeper.site.known().keepers.epoch == epoch;
+    async fn renew(&self, store: &mut PlatformStore) -> Result<bool, PlatformError> {
+        let done = self.swap(store, |list| Some(list.renew())).await?;
         if done {
+            let epoch = self.keeper.site.known().keepers.epoch;
             self.keeper
                 .note(Note::new("list_renewed").with("epoch", epoch));
         }
         Ok(done)
     }
 
-    /// Writes the next list, if there is one. A conflict only means that the
-    /// watch brings another list first.
+    /// Writes what `change` makes of the list, if that is another one; returns
+    /// whether it was written. A conflict only means that the watch brings
+    /// another list first.
+    ///
+    /// The change is made of the list that is known now, with its revision: one
+    /// made of a list from before a wait would undo what others wrote since.
     async fn swap(
         &self,
         store: &mut PlatformStore,
-        next: Option<Membership>,
-    ) -> Result<(), PlatformError> {
-        let Some(next) = next else {
-            return Ok(());
-        };
-        let expected = {
+        change: impl Fn(&Membership) -> Option<Membership>,
+    ) -> Result<bool, PlatformError> {
+        let (next, expected) = {
             let known = self.keeper.site.known();
-            if !known.read {
-                // What other keepers told may be old.
-                return Ok(());
-            }
-            known.keepers_revision
+            let next = change(&known.keepers);
+            // What other keepers told may be old.
+            (next.filter(|_| known.read), known.keepers_revision)
+        };
+        let Some(next) = next else {
+            return Ok(false);
         };
         let value = serde_json::to_vec(&next).unwrap_or_default();
         match store.swap(KEEPERS_KEY, expected, &value).await {
             Ok(revision) => {
-                self.keeper.site.known().keepers_revision = revision;
                 self.keeper.site.take_keepers(next, revision);
-                Ok(())
+                Ok(true)
             }
             Err(PlatformError::Reply(ReplyError::Conflict)) => {
                 // The watch brings what was written instead.
-                Ok(())
+                Ok(false)
             }
             Err(error) => Err(error),
         }
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -18,14 +18,17 @@
 use limpetferry_lib::ledger::Ledger;
 use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::ledger::Record;
+use limpetferry_lib::membership::ListWish;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::opening::View;
+use limpetferry_lib::time::Time;
 use smol::net::TcpListener;
 
 use crate::clock::Clock;
 use crate::disk::Disk;
 use crate::disk::Job;
-use crate::follow;
+use crate::follow::Follower;
+use crate::follow::HOLD;
 use crate::gateway_settings::KeeperSettings;
 use crate::http;
 use crate::http::Bounds;
@@ -55,9 +58,13 @@
 const SMALL: u64 = 64 << 20;
 /// Bytes of records in one answer to a keeper that catches up.
 const PULL_BYTES: usize = 512 << 10;
-/// Time between looks whether what is known from the platform's store has
-/// changed: what is newer comes from the store itself once it is back.
-const SITE_EVERY: Duration = Duration::from_millis(500);
+/// Time between looks whether the list of keepers has changed. It goes to disk
+/// at once: whoever starts while the store is away has to go by it.
+const LIST_EVERY: Duration = Duration::from_millis(50);
+/// Looks after which all else that is known from the platform's store goes to
+/// disk, if it has changed: half a second, as newer things come from the store
+/// itself once it is back.
+const SITE_LOOKS: u32 = 10;
 /// Digests in one answer: some 60 kB.
 const MAX_DIGESTS: usize = 2_048;
 /// Wait before a listener that failed is asked again.
@@ -88,6 +95,8 @@
     state: Mutex<State>,
     /// Whether it hears of too few other keepers.
     cut_off: AtomicBool,
+    /// What other keepers want it to write into the list, and since when.
+    wishes: Mutex<Vec<(Time, ListWish)>>,
 }
 
 impl Keeper {
@@ -127,6 +136,30 @@
         });
     }
 
+    /// Returns what others want written into the list, once one of them has
+    /// waited for `least`. Those that waited for `longest` write it themselves.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn wishes(&self, least: Duration, longest: Duration) -> Vec<ListWish> {
+        let now = self.clock.now();
+        let mut wishes = self.wishes.lock().expect("no panic while locked");
+        wishes.retain(|(since, _)| now.since(*since) < longest);
+        if wishes
+            .first()
+            .is_none_or(|(since, _)| now.since(*since) < least)
+        {
+            return Vec::new();
+        }
+        wishes.iter().map(|(_, wish)| wish.clone()).collect()
+    }
+
+    fn take_wish(&self, wish: ListWish) {
+        let mut wishes = self.wishes.lock().expect("no panic while locked");
+        wishes.push((self.clock.now(), wish));
+    }
+
     fn is_full(&self) -> bool {
         self.disk.bytes() > self.most / FULL_SHARE
     }
@@ -201,6 +234,10 @@
                 }
             }
             Question::Records { programs } => self.records(&programs),
+            Question::Wish(wish) => {
+                self.take_wish(wish);
+                Reply::Taken
+            }
             Question::Follow { after } => {
                 self.clone().follow(ticket, after, sender.clone());
                 return;
@@ -222,7 +259,7 @@
             let waiting = self.site.wait_news();
             let mut news = self.site.news(after);
             if news.is_none() && !self.is_away() {
-                within(follow::HOLD, waiting.recv()).await;
+                within(HOLD, waiting.recv()).await;
                 news = self.site.news(after);
             }
             let reply = news.unwrap_or_else(|| Reply::Changes {
@@ -244,10 +281,11 @@
         }
     }
 
-    /// Returns whether those that follow it do better with another keeper: the
-    /// store does not answer it, or nothing may come from there unnoticed.
+    /// Returns whether those that follow it do better with another keeper: it
+    /// does not hear from the store itself, or nothing may come from there
+    /// unnoticed.
     fn is_away(&self) -> bool {
-        self.site.is_away() || self.cut_off.load(Ordering::Relaxed)
+        !self.site.hears() || self.cut_off.load(Ordering::Relaxed)
     }
 
     fn is_stale(&self, epoch: u64) -> bool {
@@ -350,14 +388,23 @@
     /// Puts what is known from the platform's store on disk whenever it
     /// changed, for gateways that start while the store is away.
     async fn keep_site(self: Arc<Self>) {
-        let mut kept = self.site.known().revision;
+        let now = || {
+            let known = self.site.known();
+            (known.revision, known.keepers.epoch)
+        };
+        let mut kept = now();
+        let mut looks = 0_u32;
         loop {
-            smol::Timer::after(SITE_EVERY).await;
-            self.measure();
-            let revision = self.site.known().revision;
-            if revision != kept {
+            smol::Timer::after(LIST_EVERY).await;
+            looks += 1;
+            let is_due = looks.is_multiple_of(SITE_LOOKS);
+            if is_due {
+                self.measure();
+            }
+            let (revision, epoch) = now();
+            if epoch != kept.1 || is_due && revision != kept.0 {
                 self.disk.send(Job::Site(self.site.snapshot()));
-                kept = revision;
+                kept = (revision, epoch);
             }
         }
     }
@@ -457,6 +504,7 @@
         most,
         state: Mutex::new(State { ledger, whole }),
         cut_off: false.into(),
+        wishes: Mutex::default(),
         site: site.clone(),
     });
     let hello = Hello {
@@ -475,14 +523,15 @@
     smol::spawn(keeper.clone().keep_site()).detach();
     smol::spawn(site.follow(PlatformStore::new(common.store))).detach();
     let replicas = Replicas::new(hello.clone(), clock);
-    let seeds = common.seeds.clone();
-    smol::spawn(follow::follow_when_away(
-        keeper.site.clone(),
-        replicas.clone(),
+    let follower = Follower {
+        site: keeper.site.clone(),
+        replicas: replicas.clone(),
         hello,
-        seeds,
-    ))
-    .detach();
+        seeds: common.seeds.clone(),
+        faults: common.faults,
+        clock,
+    };
+    smol::spawn(follower.follow_as_keeper()).detach();
     let list = KeeperList::new(keeper.clone(), replicas, &settings);
     smol::spawn(list.follow()).detach();
     let _ = stop.recv().await;
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -42,6 +42,12 @@
 /// Pause after each answer of a watch, so that changes that come together
 /// cost one call; small against the seconds within which they are due.
 const GATHER: Duration = Duration::from_millis(150);
+/// The same pause of a process that is to follow keepers and has none yet: it
+/// asks the store only until a keeper answers.
+const FOLLOWER_GATHER: Duration = Duration::from_millis(400);
+/// How long a process that is to follow keepers waits for them when it starts,
+/// before it reads the store itself: three pages of servers a start else.
+const FOLLOWER_START: Duration = Duration::from_millis(250);
 /// How long what a keeper last said holds: two of its answers, which come at
 /// least every 0.7 s.
 const FED_WAIT: Duration = Duration::from_millis(1_500);
@@ -86,6 +92,10 @@
     known: Mutex<Known>,
     changed: async_channel::Sender<()>,
     away: AtomicBool,
+    /// Whether keepers are to tell what the store holds, if they can.
+    follower: AtomicBool,
+    /// Whether keepers tell what the store holds, in place of the store.
+    relies: AtomicBool,
     /// Those that wait for news.
     waiting: Mutex<Vec<async_channel::Sender<()>>>,
 }
@@ -100,6 +110,8 @@
             known: Mutex::default(),
             changed,
             away: AtomicBool::new(true),
+            follower: false.into(),
+            relies: false.into(),
             waiting: Mutex::default(),
         })
     }
@@ -122,9 +134,11 @@
         let mut wait = FIRST_WAIT;
         let mut away = false;
         let mut fresh = false;
+        self.await_keepers().await;
         loop {
-            if self.is_fed() && self.known().read {
+            if self.is_fed() && (self.is_follower() || self.known().read) {
                 // A keeper tells what the store tells it: one watch less.
+                self.relies.store(true, Ordering::Relaxed);
                 fresh = false;
                 smol::Timer::after(FED_LOOK).await;
                 continue;
@@ -138,7 +152,9 @@
                 Ok(()) => {
                     fresh = true;
                     wait = FIRST_WAIT;
-                    smol::Timer::after(GATHER).await;
+                    let follower = self.is_follower();
+                    let pause = if follower { FOLLOWER_GATHER } else { GATHER };
+                    smol::Timer::after(pause).await;
                     continue;
                 }
                 Err(PlatformError::Reply(ReplyError::Compacted)) => {
@@ -165,6 +181,24 @@
         }
     }
 
+    /// Waits a little for keepers that tell what the store holds, if this
+    /// process is to follow them.
+    async fn await_keepers(&self) {
+        let limit = self.clock.now() + FOLLOWER_START;
+        while self.is_follower() && !self.is_fed() && self.clock.now() < limit {
+            smol::Timer::after(FED_LOOK / 4).await;
+        }
+    }
+
+    /// Says whether this process is to follow keepers.
+    pub fn set_follower(&self, follower: bool) {
+        self.follower.store(follower, Ordering::Relaxed);
+    }
+
+    fn is_follower(&self) -> bool {
+        self.follower.load(Ordering::Relaxed)
+    }
+
     async fn read(&self, store: &mut PlatformStore, away: &mut bool) -> Result<(), PlatformError> {
         let page = store.list("").await?;
         let lapsed = self.back(away, page.revision);
@@ -236,13 +270,16 @@
         }
         if after < known.log_from {
             drop(known);
-            return Some(Reply::Snapshot(self.snapshot()));
+            return Some(Reply::Snapshot {
+                snapshot: self.snapshot(),
+                away: !self.hears(),
+            });
         }
         let news = known.log.iter().filter(|change| change.revision > after);
         Some(Reply::Changes {
             changes: news.cloned().collect(),
             revision: known.revision,
-            away: self.is_away(),
+            away: !self.hears(),
         })
     }
 
@@ -265,7 +302,8 @@
         self.known().fed = Some(now);
     }
 
-    fn is_fed(&self) -> bool {
+    /// Returns whether a keeper that hears from the store was heard of lately.
+    pub fn is_fed(&self) -> bool {
         let fed = self.known().fed;
         fed.is_some_and(|at| self.clock.now().since(at) < FED_WAIT)
     }
@@ -313,6 +351,7 @@
     fn back(&self, away: &mut bool, revision: u64) -> bool {
         let was_away = std::mem::take(away);
         self.away.store(false, Ordering::Relaxed);
+        self.relies.store(false, Ordering::Relaxed);
         if was_away {
             self.note(Note::new("store_regained").with("revision", revision));
         }
@@ -463,19 +502,17 @@
 
     fn keepers(&self, value: &[u8], revision: u64) {
         match serde_json::from_slice::<Membership>(value) {
-            Ok(membership) => {
-                let mut known = self.known();
-                known.keepers_revision = known.keepers_revision.max(revision);
-                drop(known);
-                self.take_keepers(membership, revision);
-            }
+            Ok(membership) => self.take_keepers(membership, revision),
             Err(error) => self.note(Note::new("keepers_unread").with("why", error)),
         }
     }
 
     /// Takes a list of keepers, if it is newer than the one that is known.
+    /// `revision` is that of the list in the store, or zero if another process
+    /// told it.
     pub fn take_keepers(&self, membership: Membership, revision: u64) {
         let mut known = self.known();
+        known.keepers_revision = known.keepers_revision.max(revision);
         if membership.epoch <= known.keepers.epoch {
             return;
         }
@@ -496,6 +533,11 @@
         self.away.load(Ordering::Relaxed)
     }
 
+    /// Returns whether it is the store itself that tells what it holds.
+    pub fn hears(&self) -> bool {
+        !self.is_away() && !self.relies.load(Ordering::Relaxed)
+    }
+
     /// Drops the servers whose entries lapsed and did not come back.
     pub async fn expire(self: Arc<Self>) {
         loop {
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -317,8 +317,9 @@
                 Reply::Chain { .. }
                 | Reply::Digests { .. }
                 | Reply::Records { .. }
-                | Reply::Snapshot(_)
-                | Reply::Changes { .. },
+                | Reply::Snapshot { .. }
+                | Reply::Changes { .. }
+                | Reply::Taken,
             ) => return Some(Verdict::Wait),
             Some(Reply::Failed(_)) | None => {
                 round.asked.remove(&at);
--- a/net/tests/platform_failures.rs
+++ b/net/tests/platform_failures.rs
@@ -1,6 +1,8 @@
 //! What holds on the users' platform while keepers, gateways and the store
 //! fail.
 
+use std::time::Duration;
+
 use limpetferry_testutils::platform_server::Behaviour;
 use limpetferry_testutils::platform_server::StandInServer;
 use limpetferry_testutils::platform_server::whole_output;
@@ -60,6 +62,12 @@
     members.count()
 }
 
+/// Returns how many keepers are listed, also those that come or go.
+fn listed(site: &PlatformSite) -> usize {
+    let list = site.store.get("limpetferry/keepers").expect("a list");
+    list["keepers"].as_array().map_or(0, Vec::len)
+}
+
 fn chain(turns: usize) -> String {
     let output = whole_output();
     format!("{}in;", format!("in;{output}").repeat(turns - 1))
@@ -237,6 +245,29 @@
     });
 }
 
+#[test]
+fn keepers_that_change_the_list_together_undo_nothing_of_each_other() {
+    // Each of nine keepers takes half a second to copy from the others, and
+    // says that it is done when the others do.
+    smol::block_on(async {
+        let mut site = PlatformSite::start_wired(1, 9, 2).await;
+        site.wait_until(|site| members(site) == 9).await;
+        let slow = Duration::from_millis(60);
+        let wires = &site.wires.keepers;
+        wires.iter().for_each(|wire| wire.set_delay(slow));
+
+        site.process("keeper-7").kill();
+        site.wait_until(|site| listed(site) == 8).await;
+
+        let lists = site.store.written("limpetferry/keepers");
+        let epochs: Vec<u64> = lists
+            .iter()
+            .map(|list| list["epoch"].as_u64().expect("a list has an epoch"))
+            .collect();
+        assert!(epochs.is_sorted_by(|old, new| old < new), "{epochs:?}");
+    });
+}
+
 #[test]
 fn a_planned_stop_ends_what_was_begun_and_says_that_it_is_not_ready() {
     smol::block_on(async {
--- a/testutils/src/platform_store.rs
+++ b/testutils/src/platform_store.rs
@@ -139,6 +139,24 @@
         Some(serde_json::from_slice(&bytes).expect("values are JSON"))
     }
 
+    /// Returns all that was ever written under a key and is not dropped, oldest
+    /// first.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a value is no JSON in base64.
+    pub fn written(&self, key: &str) -> Vec<Value> {
+        let state = self.lock();
+        let events = state.history.iter().filter(|event| event["Key"] == key);
+        let values = events.filter_map(|event| event["Value"].as_str());
+        values
+            .map(|value| {
+                let bytes = BASE64.decode(value).expect("values are base64");
+                serde_json::from_slice(&bytes).expect("values are JSON")
+            })
+            .collect()
+    }
+
     /// Drops all history, and cuts the watches.
     pub fn compact(&self) {
         let mut state = self.lock();
