fleet: a server that was not heard of is as loaded as the others

Cause: before 60 gateways and 60 engines each gateway hears of an engine every few seconds. One that it had not heard of counted as idle (0 or 1 expected, 3 to 6 there), so that 61 of 100 later turns left the engine that kept their prompt for one that seemed free, and read 4,000 to 18,000 tokens anew there, over a new connection in another data centre. Ruled out: places that did not arrive (the engine that was left was known), the costs of reading (2 ms for 1,000 tokens, as learned). Switch `loads`. Tests: a_line_of_turns_does_not_leave_for_servers_that_were_not_heard_of, a_server_that_was_just_seen_idle_is_preferred_to_unknown_ones (both failed before).

--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -31,8 +31,8 @@
 const CONNECT_MS: f64 = 4.0;
 /// Gain of a server that handled the object before, in ms.
 const OBJECT_MS: f64 = 8.0;
-/// Age at which a reported load has lost half of its weight: turns last some
-/// 0.6 s.
+/// Age at which a reported load has lost half of its weight against the mean of
+/// the service: turns last some 0.6 s.
 const LOAD_AGE: Duration = Duration::from_millis(300);
 /// First pause after a broken connection; doubled for each one in a row.
 const BROKEN_PAUSE: Duration = Duration::from_millis(100);
@@ -76,22 +76,30 @@
         }
     }
 
-    fn others(&self, now: Time) -> f64 {
+    /// Returns the requests of other processes there. What was reported gives
+    /// way to the mean of the service with time: before many gateways each one
+    /// hears of a server every few seconds, and one that it has not heard of is
+    /// not idle.
+    fn others(&self, now: Time, mean: f64) -> f64 {
         let Some(at) = self.load_at else {
-            return 0.0;
+            return mean;
         };
-        let all = f64::from(self.load.running + self.load.waiting);
-        let others = (all - f64::from(self.own_then)).max(0.0);
         let halves = now.since(at).as_secs_f64() / LOAD_AGE.as_secs_f64();
-        // Half of it is taken as lasting: other processes send on.
-        others * (0.5 + 0.5 * (-halves).exp2())
+        mean + (self.reported() - mean) * (-halves).exp2()
+    }
+
+    /// Returns the requests of other processes that were last reported.
+    fn reported(&self) -> f64 {
+        let all = f64::from(self.load.running + self.load.waiting);
+        (all - f64::from(self.own_then)).max(0.0)
     }
 
-    /// Returns what a request would meet at this server.
-    pub(crate) fn work(&self, now: Time, parts: &[Part]) -> Work {
+    /// Returns what a request would meet at this server, where servers have
+    /// `mean` requests of other processes.
+    pub(crate) fn work(&self, now: Time, mean: f64, parts: &[Part]) -> Work {
         Work {
             cold: self.cached.cold(parts),
-            others: f64::from(self.own) + self.others(now),
+            others: f64::from(self.own) + self.others(now, mean),
             slots: f64::from(self.server.slots),
         }
     }
@@ -109,7 +117,7 @@
         times: &ServiceTime,
         wish: &Wish<'_>,
     ) -> f64 {
-        let work = self.work(now, wish.parts);
+        let work = self.work(now, times.load(), wish.parts);
         let mut cost = if wish.parts.is_empty() {
             times.plain_cost(&work)
         } else {
@@ -138,8 +146,8 @@
 
     /// Notes that a request of this process goes there, and returns what it
     /// meets.
-    pub(crate) fn begin(&mut self, now: Time, wish: &Wish<'_>) -> Work {
-        let work = self.work(now, wish.parts);
+    pub(crate) fn begin(&mut self, now: Time, mean: f64, wish: &Wish<'_>) -> Work {
+        let work = self.work(now, mean, wish.parts);
         self.own += 1;
         self.health.sent(now);
         for part in wish.parts {
@@ -183,12 +191,14 @@
         }
     }
 
-    /// Takes the load that it reported.
-    pub(crate) fn report(&mut self, now: Time, load: Load) {
+    /// Takes the load that it reported, and returns how much of it is not this
+    /// process's own.
+    pub(crate) fn report(&mut self, now: Time, load: Load) -> f64 {
         self.load = load;
         self.load_at = Some(now);
         self.own_then = self.own;
         self.health.heard();
+        self.reported()
     }
 }
 
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -208,8 +208,11 @@
     /// Notes that a request of this process goes to a server, and returns what
     /// it meets there.
     pub fn begin(&mut self, now: Time, key: ServerKey, wish: &Wish<'_>) -> Work {
-        let member = self.members.get_mut(key);
-        member.map_or_else(Work::default, |member| member.begin(now, wish))
+        let Some(member) = self.members.get_mut(key) else {
+            return Work::default();
+        };
+        let times = self.times.get(&member.server.service);
+        member.begin(now, times.map_or(0.0, ServiceTime::load), wish)
     }
 
     /// Learns from the first event of a stream.
@@ -279,8 +282,13 @@
 
     /// Takes the load that a server reported.
     pub fn report(&mut self, now: Time, key: ServerKey, load: Load) {
-        if let Some(member) = self.members.get_mut(key) {
-            member.report(now, load);
+        let Some(member) = self.members.get_mut(key) else {
+            return;
+        };
+        let others = member.report(now, load);
+        if self.switches.loads {
+            let service = member.server.service.clone();
+            self.times.entry(service).or_default().learn_load(others);
         }
     }
 }
--- a/lib/src/service_time.rs
+++ b/lib/src/service_time.rs
@@ -23,6 +23,9 @@
 const EVENTS: f64 = 10.0;
 /// Weight of the newest answer in means.
 const NEWEST: f64 = 0.02;
+/// Weight of the newest report in the mean load: a weak gateway hears some ten a
+/// second, and a burst is there within two.
+const NEWEST_LOAD: f64 = 0.05;
 /// Least time that a prompt token reads in, in ms, and that one more request
 /// costs, as part of a fair share of a server: load tells servers apart even
 /// while nothing was learned of it.
@@ -68,6 +71,8 @@
     events: f64,
     /// Mean time to an answer's first byte or event, in ms.
     answer: f64,
+    /// Mean of the requests at its servers.
+    load: f64,
 }
 
 impl Default for ServiceTime {
@@ -78,6 +83,7 @@
             plain: Regression::new(PLAIN),
             events: EVENTS,
             answer: FIRST_EVENT[0],
+            load: 0.0,
         }
     }
 }
@@ -105,6 +111,17 @@
         self.answer += (millis(took) - self.answer) * NEWEST;
     }
 
+    /// Learns from the load that a server reported, without this process's own
+    /// requests.
+    pub fn learn_load(&mut self, others: f64) {
+        self.load += (others - self.load) * NEWEST_LOAD;
+    }
+
+    /// Returns the mean load of a server, without this process's own requests.
+    pub fn load(&self) -> f64 {
+        self.load
+    }
+
     /// Returns the mean time to an answer.
     pub fn answer(&self) -> Duration {
         Duration::from_secs_f64(self.answer.max(0.0) / 1_000.0)
@@ -151,7 +168,7 @@
         let plain = self.plain.weights();
         write!(
             f,
-            "first={:.1}+{:.1}k+{:.1}n~{:.0} event={:.1}+{:.2}n x{:.0} plain={:.1}+{:.1}s",
+            "first={:.1}+{:.1}k+{:.1}n~{:.0} event={:.1}+{:.2}n x{:.0} plain={:.1}+{:.1}s load={:.1}",
             first[0],
             first[1],
             first[2],
@@ -161,6 +178,7 @@
             self.events,
             plain[0],
             plain[1],
+            self.load,
         )
     }
 }
--- a/lib/src/switches.rs
+++ b/lib/src/switches.rs
@@ -13,6 +13,9 @@
     pub times: bool,
     /// Learns from the replicas of a program where its prompts are kept.
     pub places: bool,
+    /// Takes servers whose load is not known, or no longer, for as loaded as
+    /// those of their service are on the mean.
+    pub loads: bool,
     /// Leaves out servers that fail or are silent while others answer.
     pub outliers: bool,
 }
@@ -22,6 +25,7 @@
         Self {
             times: true,
             places: true,
+            loads: true,
             outliers: true,
         }
     }
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -136,6 +136,61 @@
     assert_ne!(next, first);
 }
 
+/// Has each server of a fleet report so many requests, `times` times.
+fn report_all(fleet: &mut Fleet, count: u16, running: u32, times: usize) {
+    let load = Load {
+        running,
+        waiting: 0,
+        slots: 16,
+    };
+    for number in (0..times).flat_map(|_| 0..count) {
+        let key = fleet.key(&format!("server-{number}")).expect("it is there");
+        fleet.report(Time::default(), key, load);
+    }
+}
+
+/// Many gateways before many engines: each hears of an engine every seven
+/// seconds, while its loads change within half a second. A line's new input is
+/// 600 tokens here, some 6 ms of reading at first guess, against 8 ms for the
+/// four requests that were there when the engine answered just now.
+#[test]
+fn a_line_of_turns_does_not_leave_for_servers_that_were_not_heard_of() {
+    let mut fleet = fleet(20);
+    report_all(&mut fleet, 10, 4, 10);
+    let line = [Part { id: 1, tokens: 600 }];
+    let with = |draw| Wish {
+        parts: &line,
+        ..wish(draw)
+    };
+    let kept = fleet.key("server-0").expect("it is there");
+    let later = Time::default() + Duration::from_secs(5);
+    fleet.begin(later, kept, &with(0.0));
+    fleet.end(later, kept, Outcome::Answered);
+    let busy = Load {
+        running: 4,
+        waiting: 0,
+        slots: 16,
+    };
+    fleet.report(later, kept, busy);
+
+    let picked = [0.1, 0.3, 0.5, 0.7, 0.9].map(|draw| fleet.pick(later, "engine", &with(draw)));
+
+    assert_eq!(picked, [Some(kept); 5]);
+}
+
+#[test]
+fn a_server_that_was_just_seen_idle_is_preferred_to_unknown_ones() {
+    let mut fleet = fleet(20);
+    report_all(&mut fleet, 10, 4, 10);
+    let later = Time::default() + Duration::from_secs(5);
+    let idle = fleet.key("server-4").expect("it is there");
+    fleet.report(later, idle, Load::default());
+
+    let picked = [0.1, 0.5, 0.9].map(|draw| fleet.pick(later, "engine", &wish(draw)));
+
+    assert_eq!(picked, [Some(idle); 3]);
+}
+
 #[test]
 fn a_load_that_others_made_counts() {
     let mut fleet = fleet(1);
