idle_limit: lost answers are no dropped connections

Change: only a break within 15 ms of the send counts; the rule is a file of its own in lib, without I/O. Tests: lost_answers_say_nothing_of_idle_connections and two more.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -27,6 +27,7 @@
 mod hash;
 pub mod history;
 pub mod id;
+pub mod idle_limit;
 pub mod keeper;
 mod keeping;
 pub mod ledger;
--- a/net/src/pool.rs
+++ b/net/src/pool.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
+use limpetferry_lib::idle_limit::IdleLimit;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::wish::Connected;
 use limpetferry_lib::wish::ServerKey;
@@ -20,14 +21,6 @@
 /// Part of the server's own time after which a connection is not used again:
 /// the server may be just closing it.
 const SAFE_SHARE: f64 = 0.6;
-/// Longest idle time before a request that may run once only, while no
-/// connection was found dropped: its answer cannot be asked for again if it is
-/// lost with the connection.
-const ONCE_IDLE: Duration = Duration::from_secs(4);
-/// Least such time, however early connections are dropped.
-const LEAST_ONCE_IDLE: Duration = Duration::from_millis(200);
-/// How long servers that drop connections early are remembered.
-const DROP_MEMORY: Duration = Duration::from_secs(20);
 /// Idle connections kept for each server.
 const MAX_IDLE: usize = 24;
 
@@ -78,15 +71,7 @@
 #[derive(Default)]
 pub struct Pool {
     idle: Mutex<HashMap<ServerKey, Vec<Idle>>>,
-    dropped: Mutex<Option<Dropped>>,
-}
-
-/// A connection that its server had dropped without a word.
-#[derive(Clone, Copy)]
-struct Dropped {
-    at: Time,
-    /// How long it had been idle.
-    idle: Duration,
+    limit: Mutex<IdleLimit>,
 }
 
 /// A connection that is used again.
@@ -162,28 +147,20 @@
         }
     }
 
-    /// Notes that a connection that was used again after `idle` broke off
-    /// before its answer: most likely its server had dropped it.
+    /// Notes that a connection that was used again after `idle` broke off before
+    /// its answer, `after` the request was sent on it.
     ///
     /// # Panics
     ///
     /// Panics if another thread panicked while it held the lock.
-    pub fn note_dropped(&self, now: Time, idle: Duration) {
-        let mut dropped = self.dropped.lock().expect("no panic while locked");
-        let fresh = |old: &Dropped| now.since(old.at) < DROP_MEMORY;
-        let least = dropped.filter(fresh).map_or(idle, |old| old.idle.min(idle));
-        *dropped = Some(Dropped {
-            at: now,
-            idle: least,
-        });
+    pub fn note_break(&self, now: Time, idle: Duration, after: Duration) {
+        let mut limit = self.limit.lock().expect("no panic while locked");
+        limit.note_break(now, idle, after);
     }
 
     fn once_idle(&self, now: Time) -> Duration {
-        let dropped = *self.dropped.lock().expect("no panic while locked");
-        match dropped.filter(|dropped| now.since(dropped.at) < DROP_MEMORY) {
-            Some(dropped) => (dropped.idle / 2).clamp(LEAST_ONCE_IDLE, ONCE_IDLE),
-            None => ONCE_IDLE,
-        }
+        let limit = self.limit.lock().expect("no panic while locked");
+        limit.longest(now)
     }
 
     /// Keeps a connection for the next request.
