attempt: what may be repeated does not wait for a silent server; one silence leaves a server out

Before 60 gateways each one had to lose two requests before it left such a server out: a silence counted as one failure. Ruled out: the health that servers tell of themselves (it says well), load (3 of 6 places taken). Change: a request that may run again is sent to another server once the first one was silent for longer than answers take (300 ms and five times the mean, learned), within the route's attempts; a request that ended in silence leaves its server out at once, for half a second first. Tests: an_idempotent_request_does_not_wait_for_a_silent_server_to_its_end (processes), one_request_without_any_answer_is_enough.

--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -182,8 +182,9 @@
             // The caller left, or its time was over: it says something of the
             // server only if nothing came from there for long.
             Outcome::Abandoned if self.health.is_silent(now, usual) => {
-                self.health.observe(now, true);
+                self.health.observe_silence(now);
             }
+            Outcome::Silent => self.health.observe_silence(now),
             Outcome::Abandoned => {}
         }
         if outcome != Outcome::Abandoned || self.own == 0 {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -9,6 +9,7 @@
 
 use crate::call::Part;
 use crate::candidate::Candidate;
+use crate::outlier;
 use crate::place::Place;
 use crate::server::Load;
 use crate::server::Outcome;
@@ -215,6 +216,13 @@
         member.begin(now, times.map_or(0.0, ServiceTime::load), wish)
     }
 
+    /// Returns how long a service's servers are silent before they count as
+    /// outliers.
+    pub fn silence(&self, service: &str) -> Duration {
+        let times = self.times.get(service);
+        outlier::silence(times.map_or(Duration::ZERO, ServiceTime::answer))
+    }
+
     /// Learns from the first event of a stream.
     pub fn first_event(&mut self, key: ServerKey, work: &Work, took: Duration) {
         if let Some(times) = self.learner(key) {
--- a/lib/src/outlier.rs
+++ b/lib/src/outlier.rs
@@ -26,6 +26,12 @@
 const SILENT_TIMES: f64 = 5.0;
 const SILENT: Duration = Duration::from_millis(300);
 
+/// Returns how long a server is silent before it counts as an outlier, where
+/// answers take `usual` on the mean.
+pub fn silence(usual: Duration) -> Duration {
+    SILENT + usual.mul_f64(SILENT_TIMES)
+}
+
 /// How a server's answers to one process were lately.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Health {
@@ -61,11 +67,19 @@
         }
     }
 
+    /// Takes that a request ended without an answer while the server was silent.
+    /// It took the caller most of its time, so that one is enough to leave the
+    /// server out.
+    pub fn observe_silence(&mut self, now: Time) {
+        self.failures = self.failures.max(MOST);
+        self.observe(now, true);
+    }
+
     /// Returns whether the server has been silent for longer than answers take,
     /// which is `usual` on the mean.
     pub fn is_silent(&self, now: Time, usual: Duration) -> bool {
-        let silent = SILENT + usual.mul_f64(SILENT_TIMES);
-        self.unheard.is_some_and(|at| now.since(at) > silent)
+        self.unheard
+            .is_some_and(|at| now.since(at) > silence(usual))
     }
 
     /// Returns whether the server is to be left out, with `own` requests under
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -75,6 +75,8 @@
 /// How a request ended, as far as it tells of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
+    /// Nothing came for longer than answers take.
+    Silent,
     /// The server answered.
     Answered,
     /// The server answered that it failed.
--- a/lib/tests/outlier.rs
+++ b/lib/tests/outlier.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use limpetferry_lib::fleet::Fleet;
+use limpetferry_lib::outlier::Health;
 use limpetferry_lib::server::Outcome;
 use limpetferry_lib::server::Server;
 use limpetferry_lib::server::ServerState;
@@ -130,3 +131,20 @@
     assert!(counts.len() == usize::from(SERVERS), "{counts:?}");
     assert!(most.unwrap() < &(least.unwrap() * 3), "{counts:?}");
 }
+
+/// Before many gateways each one meets a silent server a few times only, and
+/// each time costs a caller all of its time.
+#[test]
+fn one_request_without_any_answer_is_enough() {
+    let mut health = Health::default();
+    health.sent(Time::default());
+    let end = Time::from_millis(1_200);
+
+    health.observe_silence(end);
+    health.heard();
+
+    assert!(health.is_out(end, 0, WORK));
+    let later = end + Duration::from_millis(600);
+    assert!(!health.is_out(later, 0, WORK), "it is tried again");
+    assert!(health.is_out(later, 1, WORK), "by one request at a time");
+}
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -132,6 +132,8 @@
     NotRun(&'static str),
     /// It may have run.
     Unknown(String),
+    /// Nothing came for longer than answers take, and it may have run.
+    Silent,
     /// The caller's time is over, and it may have run.
     Late,
 }
@@ -141,6 +143,7 @@
     pub fn outcome(&self) -> Outcome {
         match self {
             Self::Late => Outcome::Abandoned,
+            Self::Silent => Outcome::Silent,
             _ => Outcome::Broken,
         }
     }
@@ -151,6 +154,7 @@
             Self::NotSent(_) => "not_sent",
             Self::NotRun(_) => "not_run",
             Self::Unknown(_) => "unknown",
+            Self::Silent => "silent",
             Self::Late => "late",
         }
     }
@@ -249,7 +253,8 @@
                 });
             };
             let key = lease.key;
-            let failure = match self.send(lease, last_event).await {
+            let patience = self.patience(*runs);
+            let failure = match self.send(lease, last_event, patience).await {
                 Ok(started) => return Ok(started),
                 Err(failure) => failure,
             };
@@ -264,13 +269,25 @@
                     }
                 }
                 Failure::Late => return Err(late(1)),
-                Failure::Unknown(_) => {
+                Failure::Unknown(_) | Failure::Silent => {
                     self.count_run(runs)?;
                 }
             }
         }
     }
 
+    /// Returns how long the head of an answer is waited for at one server. A
+    /// request that may run again does not wait for a silent server until its
+    /// caller gives up, which takes eight times the aim of a lookup.
+    fn patience(&self, runs: u32) -> Duration {
+        let left = self.left();
+        if self.route.kind != Kind::Idempotent || !self.may_repeat(runs + 1) {
+            return left;
+        }
+        let known = self.gateway.site.known();
+        known.fleet.silence(&self.service).min(left)
+    }
+
     /// Sends a stream that broke off to the same server, for what comes after
     /// `last_event`. The route's attempts count servers, and a server that
     /// lives still has the prompt in its memory.
@@ -283,7 +300,7 @@
         let mut tries = 0;
         while self.left() > LEAST_LEFT {
             let lease = self.lease(key)?;
-            match self.send(lease, last_event).await {
+            match self.send(lease, last_event, self.left()).await {
                 Ok(started) => return Some(started),
                 Err(failure) => {
                     self.gateway
@@ -330,7 +347,12 @@
         }
     }
 
-    async fn send(&self, mut lease: Lease, last_event: Option<u64>) -> Result<Started, Failure> {
+    async fn send(
+        &self,
+        mut lease: Lease,
+        last_event: Option<u64>,
+        patience: Duration,
+    ) -> Result<Started, Failure> {
         let server = {
             let known = self.gateway.site.known();
             known.fleet.server(lease.key).map(|server| server.address)
@@ -358,7 +380,7 @@
                     }
                 },
             };
-            match self.send_on(sender, &mut lease, last_event).await {
+            match self.send_on(sender, &mut lease, last_event, patience).await {
                 Ok(started) => return self.check(started, lease),
                 // The kept connection was closed before a byte went out.
                 Err(Failure::NotSent(_)) if idle.is_some() => {
@@ -367,7 +389,9 @@
                 }
                 Err(failure) => {
                     if let (Some(idle), Failure::Unknown(_)) = (idle, &failure) {
-                        self.gateway.pool.note_dropped(self.now(), idle);
+                        let now = self.now();
+                        let pool = &self.gateway.pool;
+                        pool.note_break(now, idle, now.since(lease.sent));
                     }
                     lease.end(failure.outcome(), false);
                     return Err(failure);
@@ -381,6 +405,7 @@
         mut sender: Sender,
         lease: &mut Lease,
         last_event: Option<u64>,
+        patience: Duration,
     ) -> Result<Response<Incoming>, Failure> {
         let dispatch = Dispatch {
             server: &lease.server,
@@ -399,8 +424,9 @@
         }
         self.reach(Step::Sent);
         lease.sent = self.now();
-        let sent = within(self.left(), sender.try_send_request(request)).await;
+        let sent = within(patience, sender.try_send_request(request)).await;
         match sent {
+            None if self.left() > LEAST_LEFT => Err(Failure::Silent),
             None => Err(Failure::Late),
             Some(Ok(response)) => {
                 self.reach(Step::Head);
--- a/net/tests/platform.rs
+++ b/net/tests/platform.rs
@@ -211,6 +211,19 @@
     });
 }
 
+#[test]
+fn an_idempotent_request_does_not_wait_for_a_silent_server_to_its_end() {
+    smol::block_on(async {
+        let site = site().await;
+        site.plain[0].behave([Behaviour::Hang]);
+
+        while site.plain[0].runs().is_empty() {
+            let answer = read(&site).await;
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+    });
+}
+
 #[test]
 fn a_lost_answer_to_an_idempotent_request_is_asked_for_again() {
     smol::block_on(async {
