--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -23,36 +23,16 @@
 use limpetferry_lib::time::Time;
 use limpetferry_platform::document;
 use limpetferry_platform::document::DocumentError;
-use limpetferry_platform::store::Changes;
 use limpetferry_platform::store::Item;
-use limpetferry_platform::store::ReplyError;
 
 use crate::clock::Clock;
 use crate::log;
-use crate::platform_store::PlatformError;
-use crate::platform_store::PlatformStore;
 
 /// Key of the list of keepers.
 pub const KEEPERS_KEY: &str = "limpetferry/keepers";
-/// First wait after a failed call to the store; doubled for each one in a row.
-const FIRST_WAIT: Duration = Duration::from_millis(50);
-/// Longest such wait: what is accepted has to be in force soon after the
-/// store is back.
-const LONGEST_WAIT: Duration = Duration::from_millis(400);
-/// Pause after each answer of a watch, so that changes that come together
-/// cost one call; small against the seconds within which they are due.
-const GATHER: Duration = Duration::from_millis(150);
-/// The same pause of a process that is to follow keepers and has none yet: it
-/// asks the store only until a keeper answers.
-const FOLLOWER_GATHER: Duration = Duration::from_millis(400);
-/// How long a process that is to follow keepers waits for them when it starts,
-/// before it reads the store itself: three pages of servers a start else.
-const FOLLOWER_START: Duration = Duration::from_millis(250);
 /// How long what a keeper last said holds: two of its answers, which come at
 /// least every 0.7 s.
 const FED_WAIT: Duration = Duration::from_millis(1_500);
-/// Time between looks whether keepers still tell.
-const FED_LOOK: Duration = Duration::from_millis(100);
 /// Changes kept for those that follow: some minutes of a release of hundreds
 /// of servers.
 const MAX_LOG: usize = 4_096;
@@ -80,22 +60,22 @@
     /// Changes for those that follow this process, oldest first.
     log: VecDeque<Change>,
     /// Revision after which the log is complete.
-    log_from: u64,
+    pub(crate) log_from: u64,
     /// When a keeper that hears from the store was last heard of.
     fed: Option<Time>,
 }
 
 /// What a gateway knows of the site.
 pub struct Site {
-    node: String,
-    clock: Clock,
+    pub(crate) node: String,
+    pub(crate) clock: Clock,
     known: Mutex<Known>,
     changed: async_channel::Sender<()>,
-    away: AtomicBool,
+    pub(crate) away: AtomicBool,
     /// Whether keepers are to tell what the store holds, if they can.
-    follower: AtomicBool,
+    pub(crate) follower: AtomicBool,
     /// Whether keepers tell what the store holds, in place of the store.
-    relies: AtomicBool,
+    pub(crate) relies: AtomicBool,
     /// Those that wait for news.
     waiting: Mutex<Vec<async_channel::Sender<()>>>,
 }
@@ -125,93 +105,17 @@
         self.known.lock().expect("no panic while locked")
     }
 
-    fn note(&self, note: Note) {
+    pub(crate) fn note(&self, note: Note) {
         log::note(&self.node, &note);
     }
 
-    /// Follows the platform's store for as long as the process runs.
-    pub async fn follow(self: Arc<Self>, mut store: PlatformStore) {
-        let mut wait = FIRST_WAIT;
-        let mut away = false;
-        let mut fresh = false;
-        self.await_keepers().await;
-        loop {
-            if self.is_fed() && (self.is_follower() || self.known().read) {
-                // A keeper tells what the store tells it: one watch less.
-                self.relies.store(true, Ordering::Relaxed);
-                fresh = false;
-                smol::Timer::after(FED_LOOK).await;
-                continue;
-            }
-            let result = if fresh {
-                self.watch(&mut store, &mut away).await
-            } else {
-                self.read(&mut store, &mut away).await
-            };
-            match result {
-                Ok(()) => {
-                    fresh = true;
-                    wait = FIRST_WAIT;
-                    let follower = self.is_follower();
-                    let pause = if follower { FOLLOWER_GATHER } else { GATHER };
-                    smol::Timer::after(pause).await;
-                    continue;
-                }
-                Err(PlatformError::Reply(ReplyError::Compacted)) => {
-                    self.note(
-                        Note::new("store_history_lost").with("revision", self.known().revision),
-                    );
-                    fresh = false;
-                    continue;
-                }
-                Err(error) if !away => {
-                    away = true;
-                    self.away.store(true, Ordering::Relaxed);
-                    self.tell_waiting();
-                    self.note(Note::new("store_lost").with("why", error));
-                }
-                Err(_) => {}
-            }
-            // A watch that goes on where a broken one ended may hear nothing
-            // of what came between, if the history is dropped meanwhile.
-            fresh = false;
-            let jitter = rand::random_range(0.7..1.3);
-            smol::Timer::after(wait.mul_f64(jitter)).await;
-            wait = (wait * 2).min(LONGEST_WAIT);
-        }
-    }
-
-    /// Waits a little for keepers that tell what the store holds, if this
-    /// process is to follow them.
-    async fn await_keepers(&self) {
-        let limit = self.clock.now() + FOLLOWER_START;
-        while self.is_follower() && !self.is_fed() && self.clock.now() < limit {
-            smol::Timer::after(FED_LOOK / 4).await;
-        }
-    }
-
     /// Says whether this process is to follow keepers.
     pub fn set_follower(&self, follower: bool) {
         self.follower.store(follower, Ordering::Relaxed);
     }
 
-    fn is_follower(&self) -> bool {
-        self.follower.load(Ordering::Relaxed)
-    }
-
-    async fn read(&self, store: &mut PlatformStore, away: &mut bool) -> Result<(), PlatformError> {
-        let page = store.list("").await?;
-        let lapsed = self.back(away, page.revision);
-        self.take_all(page.items, page.revision, lapsed);
-        let mut known = self.known();
-        if !std::mem::replace(&mut known.read, true) {
-            known.log_from = known.revision;
-        }
-        Ok(())
-    }
-
     /// Takes all items that the store has at a revision.
-    fn take_all(&self, items: Vec<Item>, revision: u64, lapsed: bool) {
+    pub(crate) fn take_all(&self, items: Vec<Item>, revision: u64, lapsed: bool) {
         let present: HashSet<String> = items.iter().map(|item| item.key.clone()).collect();
         for item in items {
             self.apply(item, lapsed);
@@ -256,7 +160,7 @@
         receiver
     }
 
-    fn tell_waiting(&self) {
+    pub(crate) fn tell_waiting(&self) {
         // A sender that is dropped wakes its receiver.
         self.waiting.lock().expect("no panic while locked").clear();
     }
@@ -329,36 +233,7 @@
         known.log_from = known.log_from.max(revision);
     }
 
-    async fn watch(&self, store: &mut PlatformStore, away: &mut bool) -> Result<(), PlatformError> {
-        let revision = self.known().revision;
-        let changes = store.watch("", revision).await?;
-        let lapsed = self.back(away, changes.revision);
-        if !is_gapless(revision, &changes) {
-            return Err(PlatformError::Reply(ReplyError::Compacted));
-        }
-        for item in changes.items {
-            self.apply(item, lapsed);
-        }
-        let mut known = self.known();
-        known.revision = known.revision.max(changes.revision);
-        drop(known);
-        self.tell_waiting();
-        Ok(())
-    }
-
-    /// Notes that the store answers; returns whether it was away before, so
-    /// that entries may have lapsed in servers that live.
-    fn back(&self, away: &mut bool, revision: u64) -> bool {
-        let was_away = std::mem::take(away);
-        self.away.store(false, Ordering::Relaxed);
-        self.relies.store(false, Ordering::Relaxed);
-        if was_away {
-            self.note(Note::new("store_regained").with("revision", revision));
-        }
-        was_away
-    }
-
-    fn apply(&self, item: Item, lapsed: bool) {
+    pub(crate) fn apply(&self, item: Item, lapsed: bool) {
         if !self.store_item(&item, lapsed) {
             return;
         }
@@ -549,17 +424,3 @@
         }
     }
 }
-
-/// Returns whether changes after `revision` hold every revision up to their
-/// own. The watch is for all keys, so one that is missing was dropped on the
-/// way, and with it, it may be, a version of the routing.
-fn is_gapless(revision: u64, changes: &Changes) -> bool {
-    let mut expected = revision + 1;
-    for item in &changes.items {
-        if item.revision > expected {
-            return false;
-        }
-        expected = expected.max(item.revision + 1);
-    }
-    changes.revision < expected
-}
