--- a/lib/src/ask.rs
+++ b/lib/src/ask.rs
@@ -12,7 +12,7 @@
 use crate::ledger::Presence;
 use crate::ledger::ProgramDigest;
 use crate::ledger::Record;
-use crate::membership::ListWish;
+use crate::membership::ListRequest;
 use crate::membership::Membership;
 use crate::opening::View;
 use crate::place::Place;
@@ -109,8 +109,8 @@
         /// Revision of the store up to which the asker knows it.
         after: u64,
     },
-    /// Write into the list of keepers what the asker wishes there.
-    Wish(ListWish),
+    /// Change the list of keepers as the asker needs it.
+    List(ListRequest),
 }
 
 impl Question {
@@ -124,7 +124,7 @@
             Self::Digests { .. } => "digests",
             Self::Records { .. } => "records",
             Self::Follow { .. } => "follow",
-            Self::Wish(_) => "wish",
+            Self::List(_) => "list",
         }
     }
 }
@@ -185,7 +185,7 @@
         /// later ones.
         away: bool,
     },
-    /// What was wished is written with what others wish, if the store takes it.
+    /// The change is made together with those of others, if the store takes it.
     Taken,
     /// The asker goes by an old list.
     Stale(Membership),
--- a/lib/src/membership.rs
+++ b/lib/src/membership.rs
@@ -42,9 +42,9 @@
     pub ready: bool,
 }
 
-/// What a keeper wants the list to say of it.
+/// A change of the list that a keeper asks for, about itself.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum ListWish {
+pub enum ListRequest {
     /// It comes.
     Join {
         /// Its name.
@@ -197,15 +197,16 @@
         staying
     }
 
-    /// Returns the list with all that keepers wish; `None` if it has it already.
-    pub fn with(&self, wishes: &[ListWish], faults: usize) -> Option<Self> {
+    /// Returns the list with all changes that keepers ask for; `None` if it has
+    /// them already.
+    pub fn with(&self, requests: &[ListRequest], faults: usize) -> Option<Self> {
         let mut next: Option<Self> = None;
-        for wish in wishes {
+        for request in requests {
             let list = next.as_ref().unwrap_or(self);
-            let changed = match wish {
-                ListWish::Join { node, address } => list.join(node, *address, faults),
-                ListWish::Ready { node, moved } if *moved == list.moved => list.ready(node),
-                ListWish::Ready { .. } => None,
+            let changed = match request {
+                ListRequest::Join { node, address } => list.join(node, *address, faults),
+                ListRequest::Ready { node, moved } if *moved == list.moved => list.ready(node),
+                ListRequest::Ready { .. } => None,
             };
             next = changed.or(next);
         }
--- a/lib/tests/membership.rs
+++ b/lib/tests/membership.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
-use limpetferry_lib::membership::ListWish;
+use limpetferry_lib::membership::ListRequest;
 use limpetferry_lib::membership::Membership;
 
 const FAULTS: usize = 2;
@@ -165,23 +165,23 @@
 }
 
 #[test]
-fn what_many_keepers_wish_takes_one_list() {
+fn what_many_keepers_ask_for_takes_one_list() {
     let list = keepers(9).leave(&name(4)).expect("it is in the list");
-    let ready = |number| ListWish::Ready {
+    let ready = |number| ListRequest::Ready {
         node: name(number).into(),
         moved: list.moved,
     };
     let staying = [0, 1, 2, 3, 5, 6, 7, 8];
-    let mut wishes: Vec<ListWish> = staying.into_iter().map(ready).collect();
+    let mut requests: Vec<ListRequest> = staying.into_iter().map(ready).collect();
     let address = ([10, 0, 0, 1], 9_000).into();
     let node = "new".into();
-    wishes.push(ListWish::Join { node, address });
+    requests.push(ListRequest::Join { node, address });
 
-    let next = list.with(&wishes, FAULTS).expect("it is another list");
+    let next = list.with(&requests, FAULTS).expect("it is another list");
 
     assert_eq!(next.place(&name(4)), None, "the change has ended");
     assert!(next.is_changing(), "the new one is joining");
-    assert_matches!(next.with(&wishes, FAULTS), None);
+    assert_matches!(next.with(&requests, FAULTS), None);
 }
 
 #[test]
@@ -189,11 +189,11 @@
     let first = keepers(9).leave(&name(4)).expect("it is in the list");
     let then = first.leave(&name(5)).expect("it is in the list");
     let node: Arc<str> = name(1).into();
-    let old = ListWish::Ready {
+    let old = ListRequest::Ready {
         node: node.clone(),
         moved: first.moved,
     };
-    let new = ListWish::Ready {
+    let new = ListRequest::Ready {
         node,
         moved: then.moved,
     };
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -13,7 +13,7 @@
 use limpetferry_lib::ask::Reply;
 use limpetferry_lib::effect::Note;
 use limpetferry_lib::ledger::ProgramDigest;
-use limpetferry_lib::membership::ListWish;
+use limpetferry_lib::membership::ListRequest;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::membership::Standing;
 use limpetferry_lib::time::Time;
@@ -53,12 +53,12 @@
 /// sent to another: the links' own pings have taken a second by then, and what
 /// is accepted has to be in force everywhere in two.
 const CUT_OFF_AFTER: Duration = Duration::from_millis(100);
-/// How long a keeper waits for another one to write what it wishes into the
-/// list: several of its looks, calls to the store and news of them.
+/// How long a keeper waits for another one to make a change of the list for it:
+/// several of its looks, calls to the store and news of them.
 const WRITER_WAIT: Duration = Duration::from_millis(1_000);
-/// How long wishes are gathered before they are written together: each write is
+/// How long requests are gathered before they are written together: each write is
 /// a call, and wakes all that watch. Keepers copy for some two seconds.
-const WISH_GATHER: Duration = Duration::from_millis(300);
+const REQUEST_GATHER: Duration = Duration::from_millis(300);
 /// Programs asked for at once.
 const FETCH: usize = 256;
 
@@ -73,7 +73,7 @@
     /// moved then.
     copied: Mutex<HashSet<(u64, Arc<str>)>>,
     /// What another keeper was last asked to write into the list, and when.
-    wished: Mutex<Option<(ListWish, Time)>>,
+    requested: Mutex<Option<(ListRequest, Time)>>,
     /// Whether the list was renewed since this keeper lost its disk.
     renewed: AtomicBool,
     /// What the operator was last told of the emptying.
@@ -94,7 +94,7 @@
             address: settings.common.reachable(),
             faults: settings.common.faults,
             copied: Mutex::default(),
-            wished: Mutex::default(),
+            requested: Mutex::default(),
             renewed: false.into(),
             reported: Mutex::default(),
         })
@@ -137,19 +137,19 @@
         if retiring {
             return self.retire(store, &membership).await;
         }
-        let wishes = self.keeper.wishes(WISH_GATHER, WRITER_WAIT);
-        self.swap(store, |list| list.with(&wishes, self.faults))
+        let requests = self.keeper.requests(REQUEST_GATHER, WRITER_WAIT);
+        self.swap(store, |list| list.with(&requests, self.faults))
             .await?;
         let node = self.keeper.node.as_str();
-        let wish = ListWish::Join {
+        let request = ListRequest::Join {
             node: node.into(),
             address: self.address,
         };
         let Some(at) = membership.place(node).filter(|_| {
-            let wish = std::slice::from_ref(&wish);
-            membership.with(wish, self.faults).is_none()
+            let request = std::slice::from_ref(&request);
+            membership.with(request, self.faults).is_none()
         }) else {
-            return self.wish(store, &membership, wish).await;
+            return self.request(store, &membership, request).await;
         };
         let own = &membership.keepers[at];
         if own.standing == Standing::Leaving {
@@ -172,8 +172,8 @@
             }
             let node = node.into();
             let moved = membership.moved;
-            let wish = ListWish::Ready { node, moved };
-            return self.wish(store, &membership, wish).await;
+            let request = ListRequest::Ready { node, moved };
+            return self.request(store, &membership, request).await;
         }
         self.replace_silent(store, &membership).await
     }
@@ -190,34 +190,34 @@
         *node == *self.keeper.node
     }
 
-    /// Has the list say what this keeper wishes: by the one that writes for all,
-    /// or by itself if that one has not done so for a while.
-    async fn wish(
+    /// Has a change of the list made: by the keeper that writes it for all, or by
+    /// this one if that one has not done so for a while.
+    async fn request(
         &self,
         store: &mut PlatformStore,
         membership: &Membership,
-        wish: ListWish,
+        request: ListRequest,
     ) -> Result<(), PlatformError> {
-        let wishes = std::slice::from_ref(&wish);
-        if membership.with(wishes, self.faults).is_none() {
+        let requests = std::slice::from_ref(&request);
+        if membership.with(requests, self.faults).is_none() {
             return Ok(());
         }
         let writer = self.writer(membership);
-        if writer.is_some_and(|writer| !self.is_own(writer) && self.ask_writer(writer, &wish)) {
+        if writer.is_some_and(|writer| !self.is_own(writer) && self.ask_writer(writer, &request)) {
             return Ok(());
         }
-        self.swap(store, |list| list.with(wishes, self.faults))
+        self.swap(store, |list| list.with(requests, self.faults))
             .await?;
         Ok(())
     }
 
     /// Asks the keeper that writes the list; returns whether it is still to be
     /// waited for.
-    fn ask_writer(&self, writer: &str, wish: &ListWish) -> bool {
+    fn ask_writer(&self, writer: &str, request: &ListRequest) -> bool {
         let now = self.keeper.clock.now();
-        let mut wished = self.wished.lock().expect("no panic while locked");
-        if let Some((last, since)) = &*wished
-            && last == wish
+        let mut requested = self.requested.lock().expect("no panic while locked");
+        if let Some((last, since)) = &*requested
+            && last == request
         {
             return now.since(*since) < WRITER_WAIT;
         }
@@ -225,8 +225,8 @@
         let (sender, _) = async_channel::unbounded();
         let asked = self
             .replicas
-            .ask(writer, Question::Wish(wish.clone()), &sender);
-        *wished = asked.then(|| (wish.clone(), now));
+            .ask(writer, Question::List(request.clone()), &sender);
+        *requested = asked.then(|| (request.clone(), now));
         asked
     }
 
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -18,7 +18,7 @@
 use limpetferry_lib::ledger::Ledger;
 use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::ledger::Record;
-use limpetferry_lib::membership::ListWish;
+use limpetferry_lib::membership::ListRequest;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::opening::View;
 use limpetferry_lib::time::Time;
@@ -95,8 +95,8 @@
     state: Mutex<State>,
     /// Whether it hears of too few other keepers.
     cut_off: AtomicBool,
-    /// What other keepers want it to write into the list, and since when.
-    wishes: Mutex<Vec<(Time, ListWish)>>,
+    /// Changes of the list that others asked it to make, and when.
+    requests: Mutex<Vec<(Time, ListRequest)>>,
 }
 
 impl Keeper {
@@ -136,28 +136,32 @@
         });
     }
 
-    /// Returns what others want written into the list, once one of them has
-    /// waited for `least`. Those that waited for `longest` write it themselves.
+    /// Returns the changes of the list that others asked for, once one of them
+    /// has waited for `least`. Those that waited for `longest` make them
+    /// themselves.
     ///
     /// # Panics
     ///
     /// Panics if another thread panicked while it held the lock.
-    pub fn wishes(&self, least: Duration, longest: Duration) -> Vec<ListWish> {
+    pub fn requests(&self, least: Duration, longest: Duration) -> Vec<ListRequest> {
         let now = self.clock.now();
-        let mut wishes = self.wishes.lock().expect("no panic while locked");
-        wishes.retain(|(since, _)| now.since(*since) < longest);
-        if wishes
+        let mut requests = self.requests.lock().expect("no panic while locked");
+        requests.retain(|(since, _)| now.since(*since) < longest);
+        if requests
             .first()
             .is_none_or(|(since, _)| now.since(*since) < least)
         {
             return Vec::new();
         }
-        wishes.iter().map(|(_, wish)| wish.clone()).collect()
+        requests
+            .iter()
+            .map(|(_, request)| request.clone())
+            .collect()
     }
 
-    fn take_wish(&self, wish: ListWish) {
-        let mut wishes = self.wishes.lock().expect("no panic while locked");
-        wishes.push((self.clock.now(), wish));
+    fn take_request(&self, request: ListRequest) {
+        let mut requests = self.requests.lock().expect("no panic while locked");
+        requests.push((self.clock.now(), request));
     }
 
     fn is_full(&self) -> bool {
@@ -234,8 +238,8 @@
                 }
             }
             Question::Records { programs } => self.records(&programs),
-            Question::Wish(wish) => {
-                self.take_wish(wish);
+            Question::List(request) => {
+                self.take_request(request);
                 Reply::Taken
             }
             Question::Follow { after } => {
@@ -285,7 +289,7 @@
     /// does not hear from the store itself, or nothing may come from there
     /// unnoticed.
     fn is_away(&self) -> bool {
-        !self.site.hears() || self.cut_off.load(Ordering::Relaxed)
+        !self.site.hears_store() || self.cut_off.load(Ordering::Relaxed)
     }
 
     fn is_stale(&self, epoch: u64) -> bool {
@@ -504,7 +508,7 @@
         most,
         state: Mutex::new(State { ledger, whole }),
         cut_off: false.into(),
-        wishes: Mutex::default(),
+        requests: Mutex::default(),
         site: site.clone(),
     });
     let hello = Hello {
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -176,14 +176,14 @@
             drop(known);
             return Some(Reply::Snapshot {
                 snapshot: self.snapshot(),
-                away: !self.hears(),
+                away: !self.hears_store(),
             });
         }
         let news = known.log.iter().filter(|change| change.revision > after);
         Some(Reply::Changes {
             changes: news.cloned().collect(),
             revision: known.revision,
-            away: !self.hears(),
+            away: !self.hears_store(),
         })
     }
 
@@ -409,7 +409,7 @@
     }
 
     /// Returns whether it is the store itself that tells what it holds.
-    pub fn hears(&self) -> bool {
+    pub fn hears_store(&self) -> bool {
         !self.is_away() && !self.relies.load(Ordering::Relaxed)
     }
 
