follow: keepers that watch the store are asked in turn

All others followed the fifth keeper that watches, whose watch had fallen silent unnoticed (it ends by its own time after 10 s); a keeper that failed sent its followers on to the next one, and they stayed there. Ruled out: the store (four watches had the news at once), gateways cut off (their links answered). Change: each question goes to the next keeper that watches, so that one of them that is silent delays news by one hold, 0.7 s at most. Test: none with processes yet; the store's stand-in cannot silence one watch alone (docs/findings.md).

--- a/net/src/follow.rs
+++ b/net/src/follow.rs
@@ -76,8 +76,10 @@
     }
 
     /// Asks one keeper, or the seeds if none is known, and goes on to the next
-    /// one unless it hears from the store. Whether this process `relies` on what
-    /// it says, so that it need not ask the store itself, is noted.
+    /// one, at once if this one hears from the store: its watch may have fallen
+    /// silent unnoticed, and then what is new is heard of from the next one, one
+    /// hold later. Whether this process `relies` on what it says, so that it need
+    /// not ask the store itself, is noted.
     async fn step(&self, turn: &mut usize, relies: bool) {
         let keepers = self.site.known().keepers.clone();
         let hears = match self.next(&keepers, *turn) {
@@ -89,23 +91,23 @@
                 false
             }
         };
+        *turn = turn.wrapping_add(1);
         if !hears || !relies {
-            *turn = turn.wrapping_add(1);
             smol::Timer::after(NEXT_PAUSE).await;
         }
     }
 
     /// Returns the keeper to ask: one that watches the store, or in each second
-    /// turn any one while the store does not answer this process, since those
-    /// that watch may be out of its reach too.
+    /// turn any one while neither the store nor a keeper that hears from it
+    /// answers this process.
     fn next(&self, keepers: &Membership, turn: usize) -> Option<Arc<str>> {
         let watchers = keepers.watchers(self.faults);
-        let others = self.site.is_away() && turn % 2 == 1;
-        if others {
+        let alone = self.site.is_away() && !self.site.is_fed();
+        if alone && turn % 2 == 1 {
             let count = keepers.keepers.len();
             return Some(keepers.keepers.get(turn / 2 % count.max(1))?.node.clone());
         }
-        let turn = if self.site.is_away() { turn / 2 } else { turn };
+        let turn = if alone { turn / 2 } else { turn };
         let count = watchers.len().max(1);
         Some(watchers.get(turn % count)?.node.clone())
     }
