load: types for what gateways tell each other about load, and switches for the parts that read it

Cause: each gateway decides by its own requests alone; the parts for hard load (service capacity, pace of servers, a queue before servers, refusal of programs, handing requests to stronger gateways) share what gateways know together.

Change: the types and the trait that those parts read, a stub of the record in a gateway, one message between gateways and keepers (dialect 2), the fourth load figure's place in Load, switches (all off) and the capacity of a gateway's VM in its settings. Nothing is decided by them yet; no figures.

--- a/lib/src/ask.rs
+++ b/lib/src/ask.rs
@@ -14,6 +14,8 @@
 use crate::ledger::Presence;
 use crate::ledger::ProgramDigest;
 use crate::ledger::Record;
+use crate::load_report::LoadReport;
+use crate::load_report::LoadSummary;
 use crate::membership::ListRequest;
 use crate::membership::Membership;
 use crate::opening::View;
@@ -116,6 +118,8 @@
     /// Count what a gateway sent of workspaces, and say whether it may send
     /// more.
     Spend(Vec<Use>),
+    /// Take what a gateway reports of load, and say what others reported.
+    Load(LoadReport),
 }
 
 impl Question {
@@ -131,12 +135,13 @@
             Self::Follow { .. } => "follow",
             Self::List(_) => "list",
             Self::Spend(_) => "spend",
+            Self::Load(_) => "load",
         }
     }
 }
 
 /// What a keeper answers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Reply {
     /// The turn is noted.
     Noted {
@@ -199,10 +204,12 @@
     Failed(String),
     /// What comes of what was sent, in the order in which it was told.
     Spent(Vec<UseReply>),
+    /// What other gateways reported of load.
+    Loads(LoadSummary),
 }
 
 /// A message on a link to or between keepers.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum KeeperMessage {
     /// A question.
     Ask(Ticket, Question),
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod keeper;
 mod keeping;
 pub mod ledger;
+pub mod load_report;
 pub mod load_shed;
 pub mod member;
 pub mod membership;
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::hash;
 
 /// Whether a server takes new requests.
@@ -62,7 +65,7 @@
 }
 
 /// Load as a server reports it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests that run.
     pub running: u32,
@@ -70,6 +73,9 @@
     pub waiting: u32,
     /// Requests that may run at once.
     pub slots: u32,
+    /// How long work takes at the moment, in hundredths of its usual time, if
+    /// the server says so.
+    pub pace: Option<u32>,
 }
 
 /// How a request ended, as far as it tells of its server.
--- a/lib/src/switches.rs
+++ b/lib/src/switches.rs
@@ -4,8 +4,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-/// Decisions that can be left out one by one; all are made unless the settings
-/// say otherwise.
+/// Decisions that can be made or left out one by one. Those that concern load
+/// that few deployments have are made only where the settings say so; all
+/// others are, unless the settings say otherwise.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Switches {
@@ -21,6 +22,19 @@
     /// Refuses a workspace near its limit the programs that begin, rather than
     /// requests of those that have.
     pub programs: bool,
+    /// Tells keepers about load and hears from them what other gateways told.
+    pub reports: bool,
+    /// Learns how fast each server is beside the others of its service, and
+    /// takes into account how fast it says that it is at the moment.
+    pub pace: bool,
+    /// Lets requests wait in the gateway for a server with room, where servers
+    /// refuse what they have no room for.
+    pub queue: bool,
+    /// Refuses programs that begin while a service has more work than they
+    /// have time for.
+    pub overload: bool,
+    /// Hands requests to stronger gateways while this one is behind its work.
+    pub handoff: bool,
 }
 
 impl Default for Switches {
@@ -31,6 +45,11 @@
             loads: true,
             outliers: true,
             programs: true,
+            reports: false,
+            pace: false,
+            queue: false,
+            overload: false,
+            handoff: false,
         }
     }
 }
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -142,6 +142,7 @@
         running,
         waiting: 0,
         slots: 16,
+        ..Load::default()
     };
     for number in (0..times).flat_map(|_| 0..count) {
         let key = fleet.key(&format!("server-{number}")).expect("it is there");
@@ -170,6 +171,7 @@
         running: 4,
         waiting: 0,
         slots: 16,
+        ..Load::default()
     };
     fleet.report(later, kept, busy);
 
@@ -202,6 +204,7 @@
         running: 16,
         waiting: 20,
         slots: 16,
+        ..Load::default()
     };
 
     fleet.report(Time::default(), key, busy);
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -37,6 +37,7 @@
 use crate::http::Handler;
 use crate::http::whole;
 use crate::links::bind;
+use crate::load_reports::LoadReports;
 use crate::log;
 use crate::meters::GatewayMeters;
 use crate::metrics;
@@ -81,6 +82,8 @@
     pub turns: Arc<Turns>,
     /// What workspaces may still send.
     pub allowances: Arc<Allowances>,
+    /// What it knows of load beyond its own requests.
+    pub loads: Arc<LoadReports>,
     /// Bytes of requests that it holds.
     pub held: Held,
     live: Live<GatewaySettings>,
@@ -390,6 +393,7 @@
         pool: Pool::default(),
         turns,
         allowances,
+        loads: LoadReports::new(),
         held: Held::default(),
         live: live.clone(),
         meters: GatewayMeters::new()?,
--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -105,9 +105,30 @@
     pub connections: usize,
     /// Megabytes of requests' bodies that are held at once.
     pub bodies_mb: usize,
-    /// Decisions that are left out to measure what they are worth.
+    /// Which decisions are made.
     #[serde(default)]
     pub switches: Switches,
+    /// What the VM gives the process; without it, other gateways hand it no
+    /// requests.
+    #[serde(default)]
+    pub capacity: Option<Capacity>,
+}
+
+/// What a VM gives a process.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Capacity {
+    /// Bandwidth of its link, in Mbit/s.
+    pub link_mbps: f64,
+    /// Cores that it may use.
+    pub cpu_share: f64,
+}
+
+impl Capacity {
+    fn is_sound(&self) -> bool {
+        let positive = |value: f64| value.is_finite() && value > 0.0;
+        positive(self.link_mbps) && positive(self.cpu_share)
+    }
 }
 
 impl Check for GatewaySettings {
@@ -119,6 +140,12 @@
         if self.bodies_mb == 0 {
             faults.push(Fault::new("bodies_mb", "give a number above zero"));
         }
+        if self.capacity.is_some_and(|capacity| !capacity.is_sound()) {
+            faults.push(Fault::new(
+                "capacity",
+                "give link_mbps and cpu_share above zero, or leave it out",
+            ));
+        }
     }
 
     fn log(&self) -> &LogSettings {
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -21,6 +21,7 @@
 use limpetferry_lib::ledger::Ledger;
 use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::ledger::Record;
+use limpetferry_lib::load_report::LoadSummary;
 use limpetferry_lib::membership::ListRequest;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::opening::View;
@@ -256,6 +257,7 @@
                 Reply::Taken
             }
             Question::Spend(uses) => self.count(asker, &uses),
+            Question::Load(_) => Reply::Loads(LoadSummary::default()),
             Question::Follow { after } => {
                 self.clone().follow(ticket, after, sender.clone());
                 return;
--- a/net/src/peer.rs
+++ b/net/src/peer.rs
@@ -81,7 +81,7 @@
 }
 
 /// Messages that this code understands; larger numbers are later ones.
-const DIALECT: u32 = 1;
+const DIALECT: u32 = 2;
 
 /// What both ends say first.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -113,6 +113,11 @@
     pub fn counts_allowances(&self) -> bool {
         self.dialect >= 1
     }
+
+    /// Returns whether the process takes reports of load.
+    pub fn takes_load(&self) -> bool {
+        self.dialect >= 2
+    }
 }
 
 /// What processes said first that do not say which messages they understand.
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -313,7 +313,8 @@
                 | Reply::Snapshot { .. }
                 | Reply::Changes { .. }
                 | Reply::Taken
-                | Reply::Spent(_),
+                | Reply::Spent(_)
+                | Reply::Loads(_),
             ) => return Some(Verdict::Wait),
             Some(Reply::Failed(_)) | None => {
                 round.asked.remove(&at);
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -257,6 +257,7 @@
                 connections: 1_000,
                 bodies_mb: 24,
                 switches: Switches::default(),
+                capacity: None,
             };
             self.gateways.push(settings);
             self.start_gateway(number);
