--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -12,12 +12,16 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_lite::StreamExt as _;
+use futures_lite::future::yield_now;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::Limited;
+use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use smol::net::TcpListener;
@@ -182,6 +186,23 @@
         .expect("a constant status and header are valid")
 }
 
+/// Makes the body of an answer from pieces, the last of which may be a cut.
+///
+/// The HTTP library drops what it has not written yet once the body fails, so
+/// it gets a turn to write before it hears of a cut.
+pub fn pieces<S>(pieces: S) -> Body
+where
+    S: futures_lite::Stream<Item = Result<Frame<Bytes>, Cut>> + Send + 'static,
+{
+    let pieces = pieces.then(|piece| async {
+        if piece.is_err() {
+            yield_now().await;
+        }
+        piece
+    });
+    StreamBody::new(pieces).boxed_unsync()
+}
+
 /// Says why a body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum BodyError {
