fleet: servers that join a service that is in use get work

Cause: a server that a gateway had never heard of counted as loaded as the mean of its service. For one that joins, that is untrue in all gateways at once, and as it has read nothing of the shared prompts it cost more than any other: nobody went there, so nobody heard of it. Ruled out: servers not known (all gateways logged them ready within 0.2 s), the engines' memory as the cause (it follows from 12 of 12 places taken at 17 engines).

Change: a server that comes to a service whose load is known counts as idle until it is heard of. One that was there when the gateway started counts as the mean, as before.

Test: servers_that_join_take_work_from_those_that_are_full failed before.

--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -58,12 +58,15 @@
     pub(crate) lapsed: Option<Time>,
     pub(crate) cached: Cached,
     health: Health,
+    /// Whether it came to a service that was in use already.
+    joined: bool,
 }
 
 impl Candidate {
-    pub(crate) fn new(server: Server) -> Self {
+    pub(crate) fn new(server: Server, joined: bool) -> Self {
         Self {
             server,
+            joined,
             own: 0,
             load: Load::default(),
             own_then: 0,
@@ -79,10 +82,11 @@
     /// Returns the requests of other processes there. What was reported gives
     /// way to the mean of the service with time: before many gateways each one
     /// hears of a server every few seconds, and one that it has not heard of is
-    /// not idle.
+    /// not idle. One that joined is: the others have no more reason to go there
+    /// than this process had.
     fn others(&self, now: Time, mean: f64) -> f64 {
         let Some(at) = self.load_at else {
-            return mean;
+            return if self.joined { 0.0 } else { mean };
         };
         let halves = now.since(at).as_secs_f64() / LOAD_AGE.as_secs_f64();
         mean + (self.reported() - mean) * (-halves).exp2()
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -87,7 +87,9 @@
     fn insert(&mut self, server: Server) {
         let (id, service) = (server.id.clone(), server.service.clone());
         let start = server.start();
-        let key = self.members.insert(Candidate::new(server));
+        let times = self.times.get(&service);
+        let joined = times.is_some_and(|times| times.load() > 0.0);
+        let key = self.members.insert(Candidate::new(server, joined));
         self.ids.insert(id, key);
         self.starts.insert(start, key);
         self.services.entry(service).or_default().push(key);
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -56,6 +56,14 @@
 
 /// Sends requests that do not end, and counts them by server.
 fn fill(fleet: &mut Fleet, count: usize) -> HashMap<String, usize> {
+    fill_with(fleet, count, wish)
+}
+
+fn fill_with<'a>(
+    fleet: &mut Fleet,
+    count: usize,
+    wish: impl Fn(f64) -> Wish<'a>,
+) -> HashMap<String, usize> {
     let mut counts = HashMap::new();
     for number in 0..count {
         let wish = wish((number as f64 * 0.618).fract());
@@ -193,6 +201,36 @@
     assert_eq!(picked, [Some(idle); 3]);
 }
 
+/// A release: servers are replaced one after the other while all are in use.
+/// The new ones have read nothing, so that they cost a long prompt's reading.
+#[test]
+fn servers_that_join_take_work_from_those_that_are_full() {
+    let mut fleet = fleet(20);
+    let shared = [Part {
+        id: 1,
+        tokens: 12_000,
+    }];
+    let with = |draw| Wish {
+        parts: &shared,
+        ..wish(draw)
+    };
+    for number in 0..20 {
+        let key = fleet.key(&format!("server-{number}")).expect("it is there");
+        fleet.begin(Time::default(), key, &with(0.0));
+        fleet.end(Time::default(), key, Outcome::Answered);
+    }
+    report_all(&mut fleet, 20, 24, 10);
+
+    for number in 20..40 {
+        fleet.put(server(number));
+    }
+    let joined = fill_with(&mut fleet, 40, with)
+        .into_iter()
+        .filter(|(id, _)| (20..40).any(|number| *id == format!("server-{number}")));
+
+    assert!(joined.map(|(_, count)| count).sum::<usize>() >= 20);
+}
+
 #[test]
 fn a_load_that_others_made_counts() {
     let mut fleet = fleet(1);
