load reports: what gateways tell keepers of load, and what they know by it

Each gateway knew only its own requests and the load headers of its own answers. Before many gateways those are seconds old, so gateways piled onto the same servers, and nobody knew the work ahead of a service.

Fleet takes samples that others heard, newer ones only; OwnHistory says how many own requests such a sample already holds, so that they are not counted twice.

Counts of requests that ended are sent as totals since the gateway's start: a report that is lost changes no rate. Answers hold the growth of the load, by which a gateway projects it over the answer's age.

--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -6,7 +6,9 @@
 use crate::cached::Cached;
 use crate::call::Part;
 use crate::hash;
+use crate::load_report::ServerSample;
 use crate::outlier::Health;
+use crate::own_history::OwnHistory;
 use crate::server::Load;
 use crate::server::Outcome;
 use crate::server::Server;
@@ -52,6 +54,9 @@
     /// Own requests under way when the load was reported.
     own_then: u32,
     load_at: Option<Time>,
+    /// Whether the load was reported to another process.
+    by_others: bool,
+    history: OwnHistory,
     broken: u32,
     pause_until: Option<Time>,
     /// The entry is gone, and the server is to be kept until then only.
@@ -68,6 +73,8 @@
             load: Load::default(),
             own_then: 0,
             load_at: None,
+            by_others: false,
+            history: OwnHistory::default(),
             broken: 0,
             pause_until: None,
             lapsed: None,
@@ -90,7 +97,7 @@
 
     /// Returns the requests of other processes that were last reported.
     fn reported(&self) -> f64 {
-        let all = f64::from(self.load.running + self.load.waiting);
+        let all = f64::from(self.load.running) + f64::from(self.load.waiting);
         (all - f64::from(self.own_then)).max(0.0)
     }
 
@@ -148,6 +155,7 @@
     /// meets.
     pub(crate) fn begin(&mut self, now: Time, mean: f64, wish: &Wish<'_>) -> Work {
         let work = self.work(now, mean, wish.parts);
+        self.history.note(now, self.own);
         self.own += 1;
         self.health.sent(now);
         for part in wish.parts {
@@ -163,6 +171,7 @@
     /// Notes how a request of this process ended, where answers take `usual` on
     /// the mean.
     pub(crate) fn end(&mut self, now: Time, outcome: Outcome, usual: Duration) {
+        self.history.note(now, self.own);
         self.own = self.own.saturating_sub(1);
         match outcome {
             Outcome::Answered => {
@@ -197,10 +206,41 @@
     pub(crate) fn report(&mut self, now: Time, load: Load) -> f64 {
         self.load = load;
         self.load_at = Some(now);
+        self.by_others = false;
         self.own_then = self.own;
         self.health.heard();
         self.reported()
     }
+
+    /// Returns the requests of this process that are under way there.
+    pub(crate) fn own(&self) -> u32 {
+        self.own
+    }
+
+    /// Returns the load that it reported to this process after `since`, if
+    /// nothing later is known.
+    pub(crate) fn sample(&self, since: Time, now: Time) -> Option<ServerSample> {
+        let at = self.load_at.filter(|&at| at > since && !self.by_others)?;
+        Some(ServerSample {
+            start: self.server.start(),
+            load: self.load,
+            age_ms: u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Takes the load that it reported to another process at a time, if that is
+    /// later than what is known, and returns how much of it is not this
+    /// process's own.
+    pub(crate) fn hear(&mut self, at: Time, load: Load) -> Option<f64> {
+        if self.load_at.is_some_and(|known| known >= at) {
+            return None;
+        }
+        self.load = load;
+        self.load_at = Some(at);
+        self.by_others = true;
+        self.own_then = self.history.count(at, self.own);
+        Some(self.reported())
+    }
 }
 
 fn digest(text: &str) -> u64 {
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -9,12 +9,18 @@
 
 use crate::call::Part;
 use crate::candidate::Candidate;
+use crate::flow::Counts;
+use crate::load_map::MAX_SAMPLES;
+use crate::load_map::ServerServices;
+use crate::load_report::ServerSample;
+use crate::load_report::ServerStart;
 use crate::outlier;
 use crate::place::Place;
 use crate::server::Load;
 use crate::server::Outcome;
 use crate::server::Server;
 use crate::server::ServerState;
+use crate::service_loads::OwnUse;
 use crate::service_time::ServiceTime;
 use crate::service_time::Work;
 use crate::switches::Switches;
@@ -49,8 +55,10 @@
     ids: HashMap<Arc<str>, ServerKey>,
     services: HashMap<Arc<str>, Vec<ServerKey>>,
     /// Servers by the digest that names their present start.
-    starts: HashMap<u64, ServerKey>,
+    starts: HashMap<ServerStart, ServerKey>,
     times: HashMap<Arc<str>, ServiceTime>,
+    /// Requests of this process that ended at servers of each service.
+    ended: HashMap<Arc<str>, Counts>,
     switches: Switches,
 }
 
@@ -260,7 +268,7 @@
 
     /// Returns where a part of a prompt is kept, for other processes.
     pub fn place(&self, key: ServerKey, part: Part) -> Option<Place> {
-        let start = self.server(key)?.start();
+        let start = self.server(key)?.start().0;
         Some(Place { start, part })
     }
 
@@ -271,7 +279,7 @@
             return;
         }
         for place in places {
-            let key = self.starts.get(&place.start);
+            let key = self.starts.get(&ServerStart(place.start));
             if let Some(member) = key.and_then(|&key| self.members.get_mut(key)) {
                 member.cached.add(now, place.part);
             }
@@ -286,6 +294,13 @@
         let times = self.times.get(&member.server.service);
         let usual = times.map_or(Duration::ZERO, ServiceTime::answer);
         member.end(now, outcome, usual);
+        let service = member.server.service.clone();
+        let counts = self.ended.entry(service).or_default();
+        match outcome {
+            Outcome::Answered | Outcome::Failed => counts.ended = counts.ended.wrapping_add(1),
+            Outcome::Full => counts.shed = counts.shed.wrapping_add(1),
+            _ => {}
+        }
     }
 
     /// Takes the load that a server reported.
@@ -299,4 +314,58 @@
             self.times.entry(service).or_default().learn_load(others);
         }
     }
+
+    /// Returns the servers that reported their load to this process after
+    /// `since`, with the latest load of each.
+    pub fn samples(&self, since: Time, now: Time) -> Vec<ServerSample> {
+        let members = self.members.values();
+        let samples = members.filter_map(|member| member.sample(since, now));
+        samples.collect()
+    }
+
+    /// Takes the loads that servers reported to other processes, as far as they
+    /// are later than what is known.
+    pub fn hear_loads(&mut self, now: Time, samples: &[ServerSample]) {
+        // Those of a list that is full were chosen, and say nothing of the mean.
+        let learns = self.switches.loads && samples.len() < MAX_SAMPLES;
+        for sample in samples {
+            let age = Duration::from_millis(u64::from(sample.age_ms));
+            let at = Time::from_elapsed(now.since(Time::default()).saturating_sub(age));
+            let key = self.starts.get(&sample.start);
+            let Some(member) = key.and_then(|&key| self.members.get_mut(key)) else {
+                continue;
+            };
+            if let Some(others) = member.hear(at, sample.load).filter(|_| learns) {
+                let service = member.server.service.clone();
+                self.times.entry(service).or_default().learn_load(others);
+            }
+        }
+    }
+
+    /// Returns what this process has at each service, and how many requests
+    /// the servers that take some run at once.
+    pub fn own_uses(&self) -> impl Iterator<Item = OwnUse> {
+        self.services.iter().map(|(service, keys)| {
+            let mut counts = self.ended.get(service).copied().unwrap_or_default();
+            let mut slots = 0_u32;
+            for member in keys.iter().map(|&key| &self.members[key]) {
+                counts.running = counts.running.saturating_add(member.own());
+                if member.server.state == ServerState::Ready {
+                    slots = slots.saturating_add(member.server.slots);
+                }
+            }
+            OwnUse {
+                service: service.clone(),
+                slots,
+                counts,
+            }
+        })
+    }
+}
+
+impl ServerServices for Fleet {
+    fn service(&self, start: ServerStart) -> Option<&Arc<str>> {
+        let &key = self.starts.get(&start)?;
+        Some(&self.server(key)?.service)
+    }
 }
--- a/lib/src/load_report.rs
+++ b/lib/src/load_report.rs
@@ -49,9 +49,10 @@
     pub running: u32,
     /// Requests that wait in the gateway for room.
     pub queued: u32,
-    /// Requests that ended at its servers since the last report.
+    /// Requests that ended at its servers since the gateway's start, modulo
+    /// 2^32, so that a report that was lost does not change the rate.
     pub ended: u32,
-    /// Requests that its servers refused for lack of room since the last report.
+    /// Requests that its servers refused for lack of room since then.
     pub shed: u32,
 }
 
@@ -90,11 +91,15 @@
     pub rate: f32,
     /// Requests that its servers refuse for lack of room, a second.
     pub shed_rate: f32,
+    /// Growth of the requests at its servers, a second.
+    pub growth: f32,
 }
 
 /// What a keeper answers to a report.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct LoadSummary {
+    /// Gateways that report, the asker included.
+    pub reporters: u32,
     /// Gateways that take requests from others, those with most room first.
     pub gateways: Vec<GatewayState>,
     /// Services, without what the asker reported itself.
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::hash;
+use crate::load_report::ServerStart;
 
 /// Whether a server takes new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,12 +39,12 @@
 
 impl Server {
     /// Returns a digest that names this start of the server.
-    pub(crate) fn start(&self) -> u64 {
+    pub fn start(&self) -> ServerStart {
         let start = match self.born {
             Some(born) => born.to_string(),
             None => self.address.to_string(),
         };
-        hash::fnv(self.id.bytes().chain(start.bytes()))
+        ServerStart(hash::fnv(self.id.bytes().chain(start.bytes())))
     }
 
     /// Returns whether this describes an earlier start than `other` does.
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -9,6 +9,7 @@
 use limpetferry_lib::fleet::Arrival;
 use limpetferry_lib::fleet::Fleet;
 use limpetferry_lib::fleet::LAPSE_WAIT;
+use limpetferry_lib::load_report::ServerSample;
 use limpetferry_lib::server::Load;
 use limpetferry_lib::server::Outcome;
 use limpetferry_lib::server::Server;
@@ -407,3 +408,113 @@
     assert_eq!(arrival, Arrival::Restarted);
     assert_ne!(fleet.key("server-0"), old);
 }
+
+/// What another process heard from a server `age` ms ago.
+fn sample(number: u16, running: u32, age: u32) -> ServerSample {
+    ServerSample {
+        start: server(number).start(),
+        load: Load {
+            running,
+            slots: 16,
+            ..Load::default()
+        },
+        age_ms: age,
+    }
+}
+
+/// Returns what a request meets at a server.
+fn others(fleet: &mut Fleet, now: Time, number: u16) -> f64 {
+    let key = fleet.key(&format!("server-{number}")).expect("it is there");
+    fleet.begin(now, key, &wish(0.0)).others
+}
+
+#[test]
+fn a_server_that_another_gateway_found_loaded_is_avoided() {
+    // Servers 0 and 2 are near; nothing was heard from them here.
+    let mut fleet = fleet(4);
+    let now = Time::from_millis(1_000);
+    fleet.hear_loads(now, &[sample(0, 30, 20), sample(2, 3, 20)]);
+
+    let draws = [0.0, 0.3, 0.6, 0.9];
+    let chosen = draws.map(|draw| fleet.pick(now, "engine", &wish(draw)).expect("a server"));
+
+    for key in chosen {
+        assert_ne!(id(&fleet, key), "server-0");
+    }
+}
+
+#[test]
+fn own_requests_that_another_gateway_heard_of_are_not_counted_twice() {
+    let mut fleet = fleet(1);
+    let key = fleet.key("server-0").expect("it is there");
+    for millis in [0, 100, 400] {
+        fleet.begin(Time::from_millis(millis), key, &wish(0.0));
+    }
+    let now = Time::from_millis(500);
+
+    // Two of the five were those of this process; the third came later.
+    fleet.hear_loads(now, &[sample(0, 5, 200)]);
+
+    let after = Time::from_millis(300) + Duration::from_millis(200);
+    let met = others(&mut fleet, after, 0);
+    let mean = 3.0 * 0.05;
+    let half = Duration::from_millis(200).as_secs_f64() / 0.3;
+    let expected = 3.0 + mean + (3.0 - mean) * (-half).exp2();
+    assert!((met - expected).abs() < 0.01, "{met} {expected}");
+}
+
+#[test]
+fn samples_older_than_what_is_known_change_nothing() {
+    let mut fleet = fleet(1);
+    report_all(&mut fleet, 1, 4, 1);
+    let key = fleet.key("server-0").expect("it is there");
+    let now = Time::from_millis(1_000);
+    let load = Load {
+        running: 4,
+        slots: 16,
+        ..Load::default()
+    };
+    fleet.report(now, key, load);
+
+    fleet.hear_loads(now, &[sample(0, 16, 50)]);
+
+    assert!(others(&mut fleet, now, 0) < 4.1);
+}
+
+#[test]
+fn only_loads_that_came_to_this_process_are_reported() {
+    let mut fleet = fleet(3);
+    report_all(&mut fleet, 2, 4, 1);
+    let now = Time::from_millis(1_000);
+    let key = fleet.key("server-1").expect("it is there");
+    let load = sample(1, 9, 0).load;
+    fleet.report(Time::from_millis(900), key, load);
+    fleet.hear_loads(now, &[sample(2, 16, 0)]);
+
+    let samples = fleet.samples(Time::from_millis(800), now);
+
+    assert_eq!(samples, [sample(1, 9, 100)]);
+}
+
+#[test]
+fn requests_and_slots_are_known_by_service() {
+    let mut fleet = fleet(4);
+    let mut leaving = server(3);
+    leaving.state = ServerState::Draining;
+    fleet.put(leaving);
+    let keys = [0, 0, 1, 3].map(|number| fleet.key(&format!("server-{number}")).expect("there"));
+    let now = Time::default();
+    for key in keys {
+        fleet.begin(now, key, &wish(0.0));
+    }
+    fleet.end(now, keys[0], Outcome::Answered);
+    fleet.end(now, keys[2], Outcome::Full);
+
+    let uses: Vec<_> = fleet.own_uses().collect();
+
+    assert_eq!(uses.len(), 1);
+    assert_eq!(&*uses[0].service, "engine");
+    assert_eq!(uses[0].slots, 3 * 16);
+    let counts = uses[0].counts;
+    assert_eq!((counts.running, counts.ended, counts.shed), (2, 1, 1));
+}
