load reports: gateways report to two keepers and hear what others reported

Cause: nothing sent the new message yet; keepers answered an empty summary.

LoadReporter sends a report to the first two keepers in charge of load that are within reach and understand it, as ReportTimes says, in a task of its own: no request waits for it. Keepers hold a LoadMap and answer with what others reported; samples go to the fleet, sums to LoadReports, which makes the estimates without any other lock, so that it may be asked under any. Only with the switch `reports`. A keeper of an earlier release is sent none.

Gauges for the age of what is known and for the utilization of the service loaded most, a `load` line for each service beside the summary, `load_known` and `load_unknown` when that changes.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -329,8 +329,7 @@
         // Those of a list that is full were chosen, and say nothing of the mean.
         let learns = self.switches.loads && samples.len() < MAX_SAMPLES;
         for sample in samples {
-            let age = Duration::from_millis(u64::from(sample.age_ms));
-            let at = Time::from_elapsed(now.since(Time::default()).saturating_sub(age));
+            let at = now.before(Duration::from_millis(u64::from(sample.age_ms)));
             let key = self.starts.get(&sample.start);
             let Some(member) = key.and_then(|&key| self.members.get_mut(key)) else {
                 continue;
--- a/lib/src/time.rs
+++ b/lib/src/time.rs
@@ -29,6 +29,11 @@
         self.0.saturating_sub(earlier.0)
     }
 
+    /// Returns the time that lies `span` earlier, or the start.
+    pub fn before(self, span: Duration) -> Time {
+        Self(self.0.saturating_sub(span))
+    }
+
     /// Returns the time since the start, in seconds.
     pub fn as_secs_f64(self) -> f64 {
         self.0.as_secs_f64()
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -37,6 +37,8 @@
 use crate::http::Handler;
 use crate::http::whole;
 use crate::links::bind;
+use crate::load_reporter::LoadReporter;
+use crate::load_reporter::settled_state;
 use crate::load_reports::LoadReports;
 use crate::log;
 use crate::meters::GatewayMeters;
@@ -164,6 +166,7 @@
             let mut shed = self.shed.lock().expect("no panic while locked");
             shed.observe(late);
             self.meters.lag.set(shed.lateness().as_millis() as i64);
+            self.loads.set_late(shed.lateness());
             if let Some(behind) = shed.change() {
                 let note = Note::new(if behind { "behind" } else { "caught_up" })
                     .with("timers_ms", shed.timers().as_millis())
@@ -329,6 +332,18 @@
             .collect()
         };
         learned.into_iter().for_each(|note| self.note(note));
+        let loads = self.loads.notes(self.clock.now());
+        loads.into_iter().for_each(|note| self.note(note));
+    }
+
+    /// Shows what is known of load; -1 is nothing.
+    fn show_load(&self) {
+        let now = self.clock.now();
+        let age = self.loads.age(now).map(|age| age.as_millis() as i64);
+        self.meters.load_age.set(age.unwrap_or(-1));
+        let share = self.loads.most_utilization(now);
+        let percent = share.map(|share| (share * 100.0).round() as i64);
+        self.meters.utilization.set(percent.unwrap_or(-1));
     }
 
     async fn expire(self: Arc<Self>) {
@@ -340,6 +355,7 @@
                 self.summarise();
             }
             self.look();
+            self.show_load();
             let known = self.site.known();
             self.pool
                 .expire(self.clock.now(), |key| known.fleet.contains(key));
@@ -385,6 +401,7 @@
         clock,
     );
     smol::spawn(allowances.clone().follow()).detach();
+    let loads = LoadReports::new();
     let gateway = Arc::new(Gateway {
         node: common.node.clone(),
         centre: common.centre.clone(),
@@ -393,7 +410,7 @@
         pool: Pool::default(),
         turns,
         allowances,
-        loads: LoadReports::new(),
+        loads: loads.clone(),
         held: Held::default(),
         live: live.clone(),
         meters: GatewayMeters::new()?,
@@ -411,6 +428,16 @@
     smol::spawn(site.clone().expire()).detach();
     smol::spawn(gateway.clone().expire()).detach();
     smol::spawn(gateway.clone().measure_lateness()).detach();
+    if settings.switches.reports {
+        let reporter = LoadReporter::new(
+            loads,
+            site.clone(),
+            replicas.clone(),
+            clock,
+            settled_state(&settings),
+        );
+        smol::spawn(reporter.follow()).detach();
+    }
     let metrics = bind("common.metrics", common.metrics)?;
     let shown = gateway.clone();
     let shown = metrics::handler(&gateway.meters.registry, move || shown.is_ready());
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -21,7 +21,8 @@
 use limpetferry_lib::ledger::Ledger;
 use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::ledger::Record;
-use limpetferry_lib::load_report::LoadSummary;
+use limpetferry_lib::load_map::LoadMap;
+use limpetferry_lib::load_report::LoadReport;
 use limpetferry_lib::membership::ListRequest;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::opening::View;
@@ -103,6 +104,8 @@
     requests: Mutex<Vec<(Time, ListRequest)>>,
     /// What the workspaces of which it is in charge have sent.
     allowances: Mutex<AllowanceBook>,
+    /// What gateways reported of load.
+    loads: Mutex<LoadMap>,
 }
 
 impl Keeper {
@@ -181,6 +184,13 @@
         Reply::Spent(replies.collect())
     }
 
+    fn take_load(&self, asker: &ProcessStart, report: &LoadReport) -> Reply {
+        let now = self.clock.now();
+        let known = self.site.known();
+        let mut loads = self.loads.lock().expect("no panic while locked");
+        Reply::Loads(loads.take(now, asker, report, &known.fleet))
+    }
+
     /// Answers a question.
     fn answer(
         self: &Arc<Self>,
@@ -257,7 +267,7 @@
                 Reply::Taken
             }
             Question::Spend(uses) => self.count(asker, &uses),
-            Question::Load(_) => Reply::Loads(LoadSummary::default()),
+            Question::Load(report) => self.take_load(asker, &report),
             Question::Follow { after } => {
                 self.clone().follow(ticket, after, sender.clone());
                 return;
@@ -534,6 +544,7 @@
             now,
             settings.first && empty,
         )),
+        loads: Mutex::default(),
         site: site.clone(),
     });
     let hello = Hello::new(
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod keeper_node;
 pub mod keys;
 pub mod links;
+pub mod load_reporter;
 pub mod load_reports;
 pub mod log;
 pub mod log_queue;
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -83,6 +83,10 @@
     pub ready: IntGauge,
     /// Milliseconds by which timers are late.
     pub lag: IntGauge,
+    /// Milliseconds since the load of other gateways was asked for.
+    pub load_age: IntGauge,
+    /// Utilization of the service that is loaded most, in percent.
+    pub utilization: IntGauge,
 }
 
 impl GatewayMeters {
@@ -112,6 +116,11 @@
             servers: make.gauge("servers_ready", "Servers that take requests")?,
             ready: make.gauge("ready", "Whether the process takes callers")?,
             lag: make.gauge("timer_lag_ms", "Lateness of timers")?,
+            load_age: make.gauge("load_age_ms", "Age of what is known of load, -1: nothing")?,
+            utilization: make.gauge(
+                "utilization_percent",
+                "Utilization of the service loaded most, -1: not known",
+            )?,
             registry: make.registry,
         })
     }
--- a/net/src/replicas.rs
+++ b/net/src/replicas.rs
@@ -46,6 +46,8 @@
     sender: Option<async_channel::Sender<KeeperMessage>>,
     /// The keeper's life, if it counts what workspaces send.
     counting: Option<Boot>,
+    /// Whether the keeper takes reports of load.
+    takes_load: bool,
     /// Since when the link has been as it is now.
     since: Time,
     pending: HashMap<Ticket, HeardSender>,
@@ -116,6 +118,7 @@
                 address,
                 sender: None,
                 counting: None,
+                takes_load: false,
                 since: self.clock.now(),
                 pending: HashMap::new(),
                 task,
@@ -174,6 +177,17 @@
         dialled.counting.filter(|_| dialled.sender.is_some())
     }
 
+    /// Returns whether there is a link to a keeper that takes reports of load.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn takes_load(&self, node: &str) -> bool {
+        let inner = self.inner();
+        let dialled = inner.keepers.get(node);
+        dialled.is_some_and(|dialled| dialled.sender.is_some() && dialled.takes_load)
+    }
+
     /// Returns the keepers to which there is a link, or was one less than
     /// `wait` ago.
     ///
@@ -238,6 +252,7 @@
         if let Some(dialled) = self.inner().keepers.get_mut(node) {
             dialled.sender = Some(sender);
             dialled.counting = link.peer.counts_allowances().then_some(link.peer.boot);
+            dialled.takes_load = link.peer.takes_load();
             dialled.since = self.clock.now();
         }
         self.note(Note::new("keeper_regained").with("keeper", node));
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -76,6 +76,8 @@
     /// Between the processes, if they are to be disturbed.
     pub wires: Wires,
     wired: bool,
+    /// Decisions that gateways make.
+    switches: Switches,
     /// Keeps the store's listener open.
     _store_open: async_channel::Sender<()>,
     attempts: std::sync::atomic::AtomicU64,
@@ -154,7 +156,22 @@
     ///
     /// Panics if it does not serve in time.
     pub async fn start(gateways: usize, keepers: usize, faults: usize) -> Self {
-        Self::begin(gateways, keepers, faults, false).await
+        Self::begin(gateways, keepers, faults, false, Switches::default()).await
+    }
+
+    /// Starts a site whose gateways make these decisions, and waits until all of
+    /// them serve.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not serve in time.
+    pub async fn start_switched(
+        gateways: usize,
+        keepers: usize,
+        faults: usize,
+        switches: Switches,
+    ) -> Self {
+        Self::begin(gateways, keepers, faults, false, switches).await
     }
 
     /// Starts a site whose processes reach each other through wires, and waits
@@ -164,10 +181,16 @@
     ///
     /// Panics if it does not serve in time.
     pub async fn start_wired(gateways: usize, keepers: usize, faults: usize) -> Self {
-        Self::begin(gateways, keepers, faults, true).await
+        Self::begin(gateways, keepers, faults, true, Switches::default()).await
     }
 
-    async fn begin(gateways: usize, keepers: usize, faults: usize, wired: bool) -> Self {
+    async fn begin(
+        gateways: usize,
+        keepers: usize,
+        faults: usize,
+        wired: bool,
+        switches: Switches,
+    ) -> Self {
         let store = StandInPlatform::default();
         let (at, stop) = listen(any_port(), store.handler()).await;
         let mut site = Self {
@@ -180,6 +203,7 @@
             folder: Folder::default(),
             wires: Wires::default(),
             wired,
+            switches,
             _store_open: stop,
             attempts: 0.into(),
         };
@@ -256,7 +280,7 @@
                 ready: free(),
                 connections: 1_000,
                 bodies_mb: 24,
-                switches: Switches::default(),
+                switches: self.switches,
                 capacity: None,
             };
             self.gateways.push(settings);
