--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -9,6 +9,8 @@
 use crate::load_report::ServerSample;
 use crate::outlier::Health;
 use crate::own_history::OwnHistory;
+use crate::pace::Measure;
+use crate::pace::Pace;
 use crate::server::Load;
 use crate::server::Outcome;
 use crate::server::Server;
@@ -65,6 +67,7 @@
     health: Health,
     /// Whether it came to a service that was in use already.
     joined: bool,
+    pub(crate) pace: Pace,
 }
 
 impl Candidate {
@@ -83,6 +86,7 @@
             lapsed: None,
             cached: Cached::default(),
             health: Health::default(),
+            pace: Pace::default(),
         }
     }
 
@@ -120,13 +124,23 @@
         self.health.is_out(now, self.own, times.answer())
     }
 
-    /// Returns what a request would cost there, in ms.
+    /// Returns how many times as long as at its peers work takes there.
+    pub(crate) fn pace(&self, now: Time, measure: &Measure<'_>) -> f64 {
+        let peers = measure.peers;
+        let factor = self.pace.factor(now, peers, &self.server.centre);
+        let overdue = self.pace.overdue(now, peers).filter(|_| measure.waits);
+        overdue.map_or(factor, |overdue| overdue.max(factor))
+    }
+
+    /// Returns what a request would cost there, in ms, where work takes `pace`
+    /// times as long as at a usual server.
     pub(crate) fn cost(
         &self,
         now: Time,
         key: ServerKey,
         times: &ServiceTime,
         wish: &Wish<'_>,
+        pace: f64,
     ) -> f64 {
         let work = self.work(now, times.load(), wish.parts);
         let mut cost = if wish.parts.is_empty() {
@@ -134,6 +148,7 @@
         } else {
             times.stream_cost(&work) + READ_HARM * work.others * times.read(work.cold)
         };
+        cost *= pace;
         if &*self.server.centre != wish.centre {
             cost += FAR_MS;
         }
@@ -209,6 +224,7 @@
     /// process's own.
     pub(crate) fn report(&mut self, now: Time, load: Load) -> f64 {
         self.load = load;
+        self.pace.tell(now, load.pace);
         self.load_at = Some(now);
         self.by_others = false;
         self.own_then = self.own;
@@ -240,6 +256,7 @@
             return None;
         }
         self.load = load;
+        self.pace.tell(at, load.pace);
         self.load_at = Some(at);
         self.by_others = true;
         self.own_then = self.history.count(at, self.own);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod outlier;
 mod own_history;
 pub mod owner;
+pub mod pace;
 pub mod patch;
 pub mod place;
 pub mod placement;
