--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -223,6 +223,19 @@
         outlier::silence(times.map_or(Duration::ZERO, ServiceTime::answer))
     }
 
+    /// Returns by how much a service's streams take longer than at idle servers
+    /// while requests take such a share of its slots; `None` if nothing was
+    /// learned of it.
+    pub fn slowdown(&self, service: &str, utilization: f64) -> Option<Duration> {
+        let times = self.times.get(service)?;
+        let keys = self.services.get(service).into_iter().flatten();
+        let ready = keys.filter(|&&key| self.takes(key));
+        let slots = ready.map(|&key| f64::from(self.members[key].server.slots));
+        let (count, all) = slots.fold((0.0, 0.0), |(count, all), own| (count + 1.0, all + own));
+        let mean = all / f64::max(count, 1.0);
+        Some(times.slowdown(utilization * mean, mean))
+    }
+
     /// Learns from the first event of a stream.
     pub fn first_event(&mut self, key: ServerKey, work: &Work, took: Duration) {
         if let Some(times) = self.learner(key) {
--- a/lib/src/load_shed.rs
+++ b/lib/src/load_shed.rs
@@ -26,7 +26,7 @@
 /// forgotten after a second without turns.
 const FORGET: f64 = 0.966;
 /// When a refused caller comes back: at once, as it reaches another gateway.
-const COME_BACK: Duration = Duration::from_millis(50);
+pub(crate) const COME_BACK: Duration = Duration::from_millis(50);
 /// Programs remembered; the older half goes first. A program lasts some four
 /// seconds, and a gateway begins 10 a second.
 const MAX_PROGRAMS: usize = 8_192;
@@ -89,19 +89,28 @@
     ///
     /// Returns the time after which the caller is to come back.
     pub fn admit(&mut self, program: &Arc<str>, first: bool, draw: f64) -> Result<(), Duration> {
-        let known = self.young.contains(program) || self.old.contains(program);
-        if first && !known && draw < self.share() {
+        if first && !self.knows(program) && draw < self.share() {
             return Err(COME_BACK);
         }
+        self.remember(program);
+        Ok(())
+    }
+
+    /// Returns whether a program has begun here.
+    pub(crate) fn knows(&self, program: &Arc<str>) -> bool {
+        self.young.contains(program) || self.old.contains(program)
+    }
+
+    /// Notes that a program has begun.
+    pub(crate) fn remember(&mut self, program: &Arc<str>) {
         if self.young.len() >= MAX_PROGRAMS / 2 {
             self.old = std::mem::take(&mut self.young);
         }
         self.young.insert(program.clone());
-        Ok(())
     }
 
     /// Returns the share of first turns that are refused.
-    fn share(&self) -> f64 {
+    pub(crate) fn share(&self) -> f64 {
         let (from, to) = (FIRST_LATE.as_secs_f64(), ALL_LATE.as_secs_f64());
         ((self.late.max(self.answers) - from) / (to - from)).clamp(0.0, 1.0)
     }
--- a/lib/src/service_time.rs
+++ b/lib/src/service_time.rs
@@ -152,6 +152,22 @@
         base + work.others * slope.max(LEAST_SHARE * share) + work.waiting() * share
     }
 
+    /// Returns by how much a stream takes longer at a server with so many other
+    /// requests than at an idle one, without its wait for a slot.
+    pub fn slowdown(&self, others: f64, slots: f64) -> Duration {
+        let idle = Work {
+            slots,
+            ..Work::default()
+        };
+        let most = (slots - 1.0).max(0.0);
+        let busy = Work {
+            others: others.min(most),
+            ..idle
+        };
+        let slower = self.stream_cost(&busy) - self.stream_cost(&idle);
+        Duration::from_secs_f64(slower.max(0.0) / 1_000.0)
+    }
+
     /// Returns what a plain request costs at a server, in ms.
     pub fn plain_cost(&self, work: &Work) -> f64 {
         let base = self.plain.value(&[1.0, 0.0]).max(1.0);
--- a/lib/tests/service_time.rs
+++ b/lib/tests/service_time.rs
@@ -140,3 +140,17 @@
 
     assert!(is_near(alone, 20.0), "{times}");
 }
+
+#[test]
+fn a_stream_takes_longer_the_fuller_its_server_is_up_to_its_slots() {
+    let times = ServiceTime::default();
+
+    let idle = times.slowdown(0.0, 12.0);
+    let half = times.slowdown(6.0, 12.0);
+    let full = times.slowdown(11.0, 12.0);
+    let beyond = times.slowdown(30.0, 12.0);
+
+    assert_eq!(idle, Duration::ZERO);
+    assert!(half > idle && full > half);
+    assert_eq!(beyond, full, "the wait for a slot is not part of it");
+}
