overload: gateways refuse programs by the load of their service, and budget retries

Behind the switch `overload`, off as before: the decision of lib/src/overload.rs is asked in intake before the body is read, told of ended turns by gateway.rs, and of loads ten times a second by the new net/src/overload_watch.rs, which notes `overload` and `overload_over`. Tries at further servers (no connection, silence, a broken answer) take from the retry budget; full servers keep their own bound. Metrics: programs not begun by what was behind, share admitted, retries left out.

A turn that names no earlier one is a first one only on routes that keep turns; on others it is mostly a later turn of a program begun elsewhere, so that nothing is refused for load there.

Until the loads of services are known (LoadReports says None) nothing is refused for load.

Weighed: asking the load at each first turn (a lock on the fleet for each) against a look ten times a second; the latter also notes the end of an overload without arrivals.

--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -61,6 +61,12 @@
 }
 
 impl Route {
+    /// Returns whether its requests are turns that name the one that they
+    /// continue from, so that a program's first turn can be told.
+    pub fn is_linked(&self) -> bool {
+        matches!(self.kind, Kind::Stream { .. }) && self.retention.is_some()
+    }
+
     /// Chooses a service by `draw`, a number from 0 up to 1.
     pub fn service(&self, draw: f64) -> Option<&Arc<str>> {
         let whole: f64 = self.targets.iter().map(|target| target.weight).sum();
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -253,13 +253,24 @@
             let key = lease.key;
             let patience = self.patience(*runs);
             let failure = match self.send(lease, last_event, patience).await {
-                Ok(started) => return Ok(started),
+                Ok(started) => {
+                    if !started.head.status.is_server_error() {
+                        self.gateway.earn_retry(&self.service);
+                    }
+                    return Ok(started);
+                }
                 Err(failure) => failure,
             };
             tried.push(key);
             self.gateway
                 .attempt_failed(&self.call.attempt, key, &failure);
             match failure {
+                Failure::NotSent(_) if *runs == 0 && !self.gateway.take_retry(&self.service) => {
+                    return Err(Refusal::later(
+                        RETRY_UNKNOWN,
+                        "too many servers of the service fail; come back",
+                    ));
+                }
                 Failure::NotSent(_) | Failure::NotRun(_) => {
                     refusals += 1;
                     if refusals >= MAX_REFUSALS && *runs == 0 {
@@ -323,7 +334,13 @@
     pub fn count_run(&self, runs: &mut u32) -> Result<(), Refusal> {
         *runs += 1;
         if self.may_repeat(*runs) {
-            return Ok(());
+            if self.gateway.take_retry(&self.service) {
+                return Ok(());
+            }
+            return Err(Refusal::new(
+                StatusCode::BAD_GATEWAY,
+                "the server broke off, and too many of the service do for another try",
+            ));
         }
         Err(Refusal::new(
             StatusCode::BAD_GATEWAY,
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -18,6 +18,10 @@
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::load_shed::LoadShed;
+use limpetferry_lib::overload::Arrival;
+use limpetferry_lib::overload::Overload;
+use limpetferry_lib::overload::Refused;
+use limpetferry_lib::retry_budget::RetryBudget;
 use limpetferry_lib::retry_hint::RetryHints;
 use limpetferry_lib::routing::Limits;
 use limpetferry_lib::time::Time;
@@ -41,6 +45,7 @@
 use crate::log;
 use crate::meters::GatewayMeters;
 use crate::metrics;
+use crate::overload_watch;
 use crate::peer::Hello;
 use crate::platform_store::PlatformStore;
 use crate::pool::Pool;
@@ -93,6 +98,10 @@
     in_touch: AtomicBool,
     hints: Mutex<RetryHints>,
     shed: Mutex<LoadShed>,
+    /// Decides about programs by the load of services; `None` if it is not to.
+    overload: Option<Mutex<Overload>>,
+    /// Tries at further servers that are left; `None` if they are not bounded.
+    retries: Option<Mutex<RetryBudget>>,
 }
 
 impl Gateway {
@@ -131,18 +140,66 @@
         self.hints().after(now, &program.id, &program.line)
     }
 
-    /// Takes a turn of a program, or returns when its caller is to come back.
+    /// Takes a turn of a program, or says why the program is not begun.
     ///
     /// # Errors
     ///
-    /// Returns the time after which the caller is to come back.
+    /// Returns a [`Refused`] for a program that has not begun.
     ///
     /// # Panics
     ///
     /// Panics if another thread panicked while it held the lock.
-    pub fn admit(&self, program: &Program, first: bool) -> Result<(), Duration> {
+    pub fn admit(&self, arrival: &Arrival<'_>) -> Result<(), Refused> {
+        let draw = rand::random();
+        let overload = self.overload();
         let mut shed = self.shed.lock().expect("no panic while locked");
-        shed.admit(&program.id, first, rand::random())
+        match overload {
+            Some(mut overload) => overload.admit(self.clock.now(), &mut shed, arrival, draw),
+            None => {
+                let admitted = shed.admit(arrival.program, arrival.first, draw);
+                admitted.map_err(Refused::Gateway)
+            }
+        }
+    }
+
+    /// Returns what decides about programs by the load of services, if they
+    /// are decided about by it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn overload(&self) -> Option<MutexGuard<'_, Overload>> {
+        let overload = self.overload.as_ref()?;
+        Some(overload.lock().expect("no panic while locked"))
+    }
+
+    /// Notes that a server of a service gave an answer.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn earn_retry(&self, service: &Arc<str>) {
+        if let Some(retries) = &self.retries {
+            let mut retries = retries.lock().expect("no panic while locked");
+            retries.answered(self.clock.now(), service);
+        }
+    }
+
+    /// Returns whether a request to a service may be tried at a further server.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn take_retry(&self, service: &Arc<str>) -> bool {
+        let Some(retries) = &self.retries else {
+            return true;
+        };
+        let mut retries = retries.lock().expect("no panic while locked");
+        let taken = retries.take(self.clock.now(), service);
+        if !taken {
+            self.meters.not_retried.inc();
+        }
+        taken
     }
 
     /// Notes how long the keepers of a turn took to answer.
@@ -191,7 +248,7 @@
         }
     }
 
-    fn note(&self, note: Note) {
+    pub(crate) fn note(&self, note: Note) {
         log::note(&self.node, &note);
     }
 
@@ -258,8 +315,15 @@
 
     /// Notes that a server's answer went to the caller.
     pub fn answered(&self, job: &Job, server: &str, status: StatusCode, events: u64) {
-        let time = self.clock.now().since(job.start);
+        let now = self.clock.now();
+        let time = now.since(job.start);
         self.meters.request_time.observe(time.as_secs_f64());
+        if status == StatusCode::OK
+            && job.is_linked_turn()
+            && let Some(mut overload) = self.overload()
+        {
+            overload.ended(now, &job.service);
+        }
         let note = self
             .about(Note::new("answered"), job)
             .with("server", server)
@@ -401,7 +465,10 @@
         in_touch: AtomicBool::new(false),
         hints: Mutex::default(),
         shed: Mutex::default(),
+        overload: settings.switches.overload.then(Mutex::default),
+        retries: settings.switches.overload.then(Mutex::default),
     });
+    gateway.meters.admitted.set(100);
     let note = Note::new("started").with("role", "gateway");
     gateway.note(note.with("callers", settings.callers));
     let (close, closed) = async_channel::bounded::<()>(1);
@@ -411,6 +478,9 @@
     smol::spawn(site.clone().expire()).detach();
     smol::spawn(gateway.clone().expire()).detach();
     smol::spawn(gateway.clone().measure_lateness()).detach();
+    if settings.switches.overload {
+        smol::spawn(overload_watch::watch(gateway.clone())).detach();
+    }
     let metrics = bind("common.metrics", common.metrics)?;
     let shown = gateway.clone();
     let shown = metrics::handler(&gateway.meters.registry, move || shown.is_ready());
--- a/net/src/intake.rs
+++ b/net/src/intake.rs
@@ -8,6 +8,8 @@
 use http::StatusCode;
 use http::request::Parts;
 use limpetferry_lib::call::Call;
+use limpetferry_lib::overload::Arrival;
+use limpetferry_lib::overload::Refused;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::routing::Route;
 use limpetferry_lib::routing::Routing;
@@ -155,21 +157,50 @@
     })
 }
 
-/// Takes a turn of a program, if the gateway has time for it.
+/// Takes a turn of a program, if the gateway and the service have time for it.
 ///
 /// # Errors
 ///
-/// Returns the refusal of a program that it could not serve in time.
-pub fn admit(gateway: &Gateway, route: &Route, call: &Call) -> Result<(), Refusal> {
+/// Returns the refusal of a program that would not be served in time.
+pub fn admit(
+    gateway: &Gateway,
+    target: &Target,
+    caller: &Caller,
+    call: &Call,
+    patience: Duration,
+) -> Result<(), Refusal> {
+    let route = &target.route;
     let (Kind::Stream { .. }, Some(program)) = (route.kind, &call.program) else {
         return Ok(());
     };
-    let admitted = gateway.admit(program, call.previous.is_none());
-    admitted.map_err(|after| {
-        Refusal::later(
-            after,
-            "more programs than this gateway can serve in time; come back",
-        )
+    let workspace = caller.workspace();
+    let priority = workspace.and_then(|workspace| workspace.priority);
+    let admitted = gateway.admit(&Arrival {
+        program: &program.id,
+        first: call.previous.is_none(),
+        linked: route.is_linked(),
+        service: &target.service,
+        rank: priority.unwrap_or(route.priority),
+        workspace: workspace.map(|workspace| &workspace.name),
+        remaining: program.remaining,
+        patience,
+    });
+    let not_begun = &gateway.meters.not_begun;
+    admitted.map_err(|refused| match refused {
+        Refused::Gateway(after) => {
+            not_begun.with_label_values(&["gateway"]).inc();
+            Refusal::later(
+                after,
+                "more programs than this gateway can serve in time; come back",
+            )
+        }
+        Refused::Service(after) => {
+            not_begun.with_label_values(&["service"]).inc();
+            Refusal::later_at(
+                after,
+                "more programs than the service can serve in time; come back",
+            )
+        }
     })
 }
 
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod meters;
 pub mod metrics;
 pub mod operators;
+mod overload_watch;
 pub mod peer;
 pub mod platform_store;
 pub mod pool;
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -75,6 +75,13 @@
     /// Requests that their workspace's allowance did not hold, by what it had no
     /// room for.
     pub over_allowance: IntCounterVec,
+    /// Programs that were not begun, by what was behind.
+    pub not_begun: IntCounterVec,
+    /// Share of programs that begin, in hundredths, at the service with the
+    /// least.
+    pub admitted: IntGauge,
+    /// Tries at further servers that were left out for want of budget.
+    pub not_retried: IntCounter,
     /// Version of the routing in force.
     pub routing: IntGauge,
     /// Servers that take requests.
@@ -108,6 +115,19 @@
                 "Requests beyond their workspace's allowance",
                 "shortage",
             )?,
+            not_begun: make.counters(
+                "programs_not_begun_total",
+                "Programs that were refused at their first turn",
+                "behind",
+            )?,
+            admitted: make.gauge(
+                "programs_admitted_percent",
+                "Share of programs that begin, at the service with the least",
+            )?,
+            not_retried: make.counter(
+                "retries_left_out_total",
+                "Tries at further servers beyond the retry budget",
+            )?,
             routing: make.gauge("routing_version", "Version of the routing in force")?,
             servers: make.gauge("servers_ready", "Servers that take requests")?,
             ready: make.gauge("ready", "Whether the process takes callers")?,
--- a/net/src/refusal.rs
+++ b/net/src/refusal.rs
@@ -44,10 +44,16 @@
     pub fn later(after: Duration, why: impl Into<Cow<'static, str>>) -> Self {
         // Callers that were refused together do not return together.
         let spread = rand::random_range(0.7..1.3);
+        Self::later_at(after.mul_f64(spread), why)
+    }
+
+    /// Makes the refusal of a request that has not run and may come back after
+    /// just this time, which is spread already.
+    pub fn later_at(after: Duration, why: impl Into<Cow<'static, str>>) -> Self {
         Self {
             status: StatusCode::SERVICE_UNAVAILABLE,
             why: why.into(),
-            after: Some(after.mul_f64(spread)),
+            after: Some(after),
         }
     }
 
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -124,8 +124,9 @@
     let target = intake::find_target(gateway, &head)?;
     let caller = intake::identify(gateway, &target, &head.headers)?;
     let charge = intake::charge(gateway, &caller, &call).await?;
-    intake::admit(gateway, &target.route, &call)?;
-    let limit = start + intake::patience(&target.route, &call);
+    let patience = intake::patience(&target.route, &call);
+    intake::admit(gateway, &target, &caller, &call, patience)?;
+    let limit = start + patience;
     let size = hyper::body::Body::size_hint(&body).lower() as usize;
     let hold = intake::make_room(gateway, &target.routing, size)?;
     let left = limit.since(gateway.clock.now());
@@ -180,6 +181,14 @@
         self.gateway.clock.now()
     }
 
+    /// Returns whether it is a turn of a program whose first turn can be told
+    /// from later ones.
+    pub fn is_linked_turn(&self) -> bool {
+        let program = self.call.program.as_ref();
+        let timed = program.is_some_and(|program| program.remaining.is_some());
+        timed && self.route.is_linked()
+    }
+
     /// Notes that the request reached a step.
     pub fn reach(&self, step: Step) {
         self.steps.reach(step, self.now().since(self.start));
