dispatch_queue, concurrency: which request goes next where servers refuse what they have no room for

Servers that hold no more than a few requests refuse the rest of a burst, and three refusals in a row fail a call and its program, though the burst is over before the caller's time is. A queue for each service now decides who goes next: by rank, by workspace in turn, by time left; bounded in time, length and bytes. A limit on what a gateway sends at once, lowered by refusals and raised by answers, keeps gateways that know nothing of each other within the servers' room. Not wired yet.

Weighed: a limit for each server rather than for the service. With more gateways than places at a server none could be below one request, and the limits would limit nothing. A gateway whose requests wait longer raises its limit faster, or the shares of equal gateways drift apart for seconds.

--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -54,6 +54,8 @@
     load_at: Option<Time>,
     broken: u32,
     pause_until: Option<Time>,
+    /// When it may have room again after it refused for lack of it.
+    full_until: Option<Time>,
     /// The entry is gone, and the server is to be kept until then only.
     pub(crate) lapsed: Option<Time>,
     pub(crate) cached: Cached,
@@ -70,6 +72,7 @@
             load_at: None,
             broken: 0,
             pause_until: None,
+            full_until: None,
             lapsed: None,
             cached: Cached::default(),
             health: Health::default(),
@@ -144,6 +147,12 @@
         self.pause_until.is_some_and(|until| now < until)
     }
 
+    /// Returns when it has room again as far as its refusals tell; now, if it
+    /// refused nothing lately.
+    pub(crate) fn opens(&self, now: Time) -> Time {
+        self.full_until.map_or(now, |until| until.max(now))
+    }
+
     /// Notes that a request of this process goes there, and returns what it
     /// meets.
     pub(crate) fn begin(&mut self, now: Time, mean: f64, wish: &Wish<'_>) -> Work {
@@ -168,10 +177,14 @@
             Outcome::Answered => {
                 self.broken = 0;
                 self.pause_until = None;
+                self.full_until = None;
                 self.health.observe(now, false);
             }
             Outcome::Failed => self.health.observe(now, true),
-            Outcome::Full => self.pause_until = Some(now + FULL_PAUSE),
+            Outcome::Full => {
+                self.pause_until = Some(now + FULL_PAUSE);
+                self.full_until = self.pause_until;
+            }
             Outcome::Broken => {
                 let pause = BROKEN_PAUSE * 2_u32.pow(self.broken.min(4));
                 self.pause_until = Some(now + pause.min(LONGEST_PAUSE));
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -35,6 +35,18 @@
     Outdated,
 }
 
+/// What the servers of a service have room for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Requests of all gateways that they run and hold.
+    pub places: u32,
+    /// When one of them that refused may take requests again; now, if one did
+    /// not refuse lately.
+    pub opens: Time,
+}
+
+/// Requests beyond its slots that a server is taken to hold.
+const HELD: u32 = 4;
 /// Most servers of a service that are left out as outliers, as a share of those
 /// that take requests.
 const MOST_OUT: f64 = 0.34;
@@ -170,6 +182,25 @@
         keys.filter(|&&key| self.takes(key)).count()
     }
 
+    /// Returns what the servers of a service have room for; `None` if none takes
+    /// requests.
+    pub fn room(&self, now: Time, service: &str) -> Option<Room> {
+        let keys = self.services.get(service)?;
+        let ready = || keys.iter().filter(|&&key| self.takes(key));
+        let members = || ready().map(|&key| &self.members[key]);
+        Some(Room {
+            opens: members().map(|member| member.opens(now)).min()?,
+            places: members().map(|member| member.server.slots + HELD).sum(),
+        })
+    }
+
+    /// Returns how long a service takes to answer on the mean; zero if nothing is
+    /// known of it.
+    pub fn usual(&self, service: &str) -> Duration {
+        let times = self.times.get(service);
+        times.map_or(Duration::ZERO, ServiceTime::answer)
+    }
+
     /// Chooses the server of `service` where a request costs least, by its
     /// queue, its batch and what it would have to read of the prompt. Servers
     /// that just failed are chosen only if there are no other ones.
@@ -219,8 +250,7 @@
     /// Returns how long a service's servers are silent before they count as
     /// outliers.
     pub fn silence(&self, service: &str) -> Duration {
-        let times = self.times.get(service);
-        outlier::silence(times.map_or(Duration::ZERO, ServiceTime::answer))
+        outlier::silence(self.usual(service))
     }
 
     /// Learns from the first event of a stream.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod chains;
 #[rustfmt::skip]
 pub mod code;
+pub mod concurrency;
+pub mod dispatch_queue;
 pub mod document;
 pub mod effect;
 mod ending;
--- a/lib/src/urgency.rs
+++ b/lib/src/urgency.rs
@@ -21,3 +21,15 @@
     let group = if late { PRIORITIES } else { 0 };
     FIRST + group + priority.min(PRIORITIES - 1)
 }
+
+/// Number of ranks of requests that wait in a gateway.
+pub const QUEUE_RANKS: u8 = 2 * PRIORITIES;
+
+/// Returns the rank of a request that waits in a gateway, the first to go 0, by
+/// its priority and what `remains` of its program's time. Unlike at an engine,
+/// which takes places from what runs, a late program stands back only behind
+/// others of its priority: an urgent request never waits for a less urgent one.
+pub fn queue_rank(priority: u8, remains: Option<Duration>) -> u8 {
+    let late = remains.is_some_and(|remains| remains.is_zero());
+    2 * priority.min(PRIORITIES - 1) + u8::from(late)
+}
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -407,3 +407,28 @@
     assert_eq!(arrival, Arrival::Restarted);
     assert_ne!(fleet.key("server-0"), old);
 }
+
+#[test]
+fn a_service_opens_with_the_first_of_its_servers_that_did_not_refuse_lately() {
+    let mut fleet = fleet(2);
+    let now = Time::from_millis(1_000);
+    let refuse = |fleet: &mut Fleet, id| {
+        let key = fleet.key(id).expect("it is known");
+        fleet.begin(now, key, &wish(0.0));
+        fleet.end(now, key, Outcome::Full);
+    };
+
+    refuse(&mut fleet, "server-0");
+    let one = fleet.room(now, "engine").expect("servers are there");
+    refuse(&mut fleet, "server-1");
+    let both = fleet.room(now, "engine").expect("servers are there");
+
+    assert_eq!(one.opens, now);
+    assert!(both.opens > now, "{both:?}");
+    assert_eq!(
+        fleet.room(both.opens, "engine").map(|room| room.opens),
+        Some(both.opens)
+    );
+    assert!(one.places >= 2 * 16);
+    assert_eq!(fleet.room(now, "another"), None);
+}
--- a/lib/tests/urgency.rs
+++ b/lib/tests/urgency.rs
@@ -5,6 +5,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use limpetferry_lib::urgency::QUEUE_RANKS;
+use limpetferry_lib::urgency::queue_rank;
 use limpetferry_lib::urgency::rank;
 
 /// Requests that the engines run at once.
@@ -114,3 +116,20 @@
 fn a_request_of_no_program_is_in_time() {
     assert_eq!(rank(1, None), rank(1, Some(Duration::MAX)));
 }
+
+#[test]
+fn an_urgent_call_of_a_late_program_waits_behind_no_less_urgent_one() {
+    let late = Some(Duration::ZERO);
+    let in_time = Some(Duration::from_secs(1));
+    let ranks = [
+        queue_rank(0, in_time),
+        queue_rank(0, late),
+        queue_rank(1, None),
+        queue_rank(1, late),
+        queue_rank(2, in_time),
+        queue_rank(200, late),
+    ];
+
+    assert!(ranks.is_sorted_by(|before, after| before < after));
+    assert!(ranks.iter().all(|&rank| rank < QUEUE_RANKS));
+}
