dispatch: requests wait in the gateway for a server with room

With the switch on, a request asks for room before a server is chosen. Where servers of its service refused lately, it waits for its turn, for as long as its time covers its usual work; a refusal for lack of room puts it back. It wakes when a request to the service ends or a refusing server may have room again. Requests at a server that fell silent or is gone take no room: in a test with a server that died, they kept the others waiting until their callers gave up, and the idle look of the dead server drew the rest. Metrics and a line a second show the queues, answered lines tell how long a request waited there.

--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -147,6 +147,12 @@
         self.pause_until.is_some_and(|until| now < until)
     }
 
+    /// Returns whether it has been silent for longer than answers take, which is
+    /// `usual` on the mean.
+    pub(crate) fn is_silent(&self, now: Time, usual: Duration) -> bool {
+        self.health.is_silent(now, usual)
+    }
+
     /// Returns when it has room again as far as its refusals tell; now, if it
     /// refused nothing lately.
     pub(crate) fn opens(&self, now: Time) -> Time {
--- a/lib/src/concurrency.rs
+++ b/lib/src/concurrency.rs
@@ -100,9 +100,11 @@
         self.limit.as_ref().map(|limit| limit.value)
     }
 
-    /// Returns whether one more request may go to a server.
-    pub fn has_room(&self) -> bool {
-        let running = f64::from(self.running);
+    /// Returns whether one more request may go to a server, where `lost` of those
+    /// under way are at servers that do not answer. These take no room: the
+    /// others would wait for a server that died until callers give up.
+    pub fn has_room(&self, lost: u32) -> bool {
+        let running = f64::from(self.running.saturating_sub(lost));
         self.limit
             .as_ref()
             .is_none_or(|limit| running + 1.0 <= limit.value)
@@ -162,7 +164,7 @@
     /// Lifts the limit if nothing waits and no server refused for long.
     pub fn relax(&mut self, now: Time) {
         let over = |limit: &Limit| now.since(limit.refused) > LASTS;
-        if self.has_room() && self.limit.as_ref().is_some_and(over) {
+        if self.has_room(0) && self.limit.as_ref().is_some_and(over) {
             self.limit = None;
         }
     }
--- a/lib/src/dispatch_queue.rs
+++ b/lib/src/dispatch_queue.rs
@@ -70,6 +70,12 @@
         /// When the caller is to come back.
         after: Duration,
     },
+    /// No server had room while its time covered its work.
+    #[error("servers were full until the time left was too short for the work; come back")]
+    Late {
+        /// When the caller is to come back.
+        after: Duration,
+    },
     /// Too many wait.
     #[error("servers are full, and too many requests wait for them; come back")]
     Full {
@@ -82,7 +88,7 @@
     /// Returns when the caller is to come back.
     pub fn after(self) -> Duration {
         match self {
-            Self::Slow { after } | Self::Full { after } => after,
+            Self::Slow { after } | Self::Late { after } | Self::Full { after } => after,
         }
     }
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -41,7 +41,7 @@
     /// Requests of all gateways that they run and hold.
     pub places: u32,
     /// When one of them that refused may take requests again; now, if one did
-    /// not refuse lately.
+    /// not refuse lately. Those that are left out as outliers do not count.
     pub opens: Time,
 }
 
@@ -186,14 +186,27 @@
     /// requests.
     pub fn room(&self, now: Time, service: &str) -> Option<Room> {
         let keys = self.services.get(service)?;
+        let unknown = ServiceTime::default();
+        let times = self.times.get(service).unwrap_or(&unknown);
+        let leave_out = self.may_leave_out(now, keys, times);
         let ready = || keys.iter().filter(|&&key| self.takes(key));
         let members = || ready().map(|&key| &self.members[key]);
+        let chosen = members().filter(|member| !leave_out || !member.is_out(now, times));
         Some(Room {
-            opens: members().map(|member| member.opens(now)).min()?,
+            opens: chosen.map(|member| member.opens(now)).min()?,
             places: members().map(|member| member.server.slots + HELD).sum(),
         })
     }
 
+    /// Returns whether nothing is to be expected soon of requests at a server: it
+    /// is gone, or silent for longer than its answers take.
+    pub fn is_lost(&self, now: Time, key: ServerKey) -> bool {
+        let Some(member) = self.members.get(key) else {
+            return true;
+        };
+        member.is_silent(now, self.usual(&member.server.service))
+    }
+
     /// Returns how long a service takes to answer on the mean; zero if nothing is
     /// known of it.
     pub fn usual(&self, service: &str) -> Duration {
--- a/lib/tests/dispatch_queue.rs
+++ b/lib/tests/dispatch_queue.rs
@@ -213,7 +213,7 @@
     /// Sends what has room, and returns the calls that failed.
     fn send(&mut self, now: u64, servers: &mut Servers, random: &mut SmallRng) -> usize {
         let mut failed = self.queue.expire(at(now)).len();
-        while self.limit.has_room() {
+        while self.limit.has_room(0) {
             let open = (0..SERVERS).filter(|&server| self.paused[server] <= now);
             let open: Vec<usize> = open.collect();
             let mut any = || open[random.random_range(0..open.len())];
@@ -513,7 +513,7 @@
         limit.begin();
     }
 
-    assert!(limit.has_room());
+    assert!(limit.has_room(0));
     assert_eq!(limit.limit(), None);
 }
 
@@ -536,7 +536,17 @@
         limit.end(at(now), at(now), Outcome::Full, 72, Duration::ZERO);
     }
 
-    assert!(limit.has_room());
+    assert!(limit.has_room(0));
+}
+
+#[test]
+fn requests_at_a_server_that_died_do_not_keep_others_from_those_that_live() {
+    let mut limit = Concurrency::default();
+    (0..10).for_each(|_| limit.begin());
+    limit.end(at(10), at(0), Outcome::Full, 72, Duration::ZERO);
+
+    assert!(!limit.has_room(0));
+    assert!(limit.has_room(5));
 }
 
 #[test]
@@ -546,7 +556,7 @@
     limit.end(at(0), at(0), Outcome::Full, 72, Duration::ZERO);
 
     for now in 0..200 {
-        while limit.has_room() {
+        while limit.has_room(0) {
             limit.begin();
         }
         limit.end(at(now), at(now), Outcome::Answered, 72, Duration::ZERO);
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -432,3 +432,39 @@
     assert!(one.places >= 2 * 16);
     assert_eq!(fleet.room(now, "another"), None);
 }
+
+#[test]
+fn a_server_that_is_left_out_opens_no_service() {
+    let mut fleet = fleet(4);
+    let keys: Vec<ServerKey> = (0..4)
+        .filter_map(|number| fleet.key(&format!("server-{number}")))
+        .collect();
+    let now = Time::from_millis(1_000);
+    for &key in &keys {
+        fleet.begin(now, key, &wish(0.0));
+    }
+    fleet.end(now, keys[0], Outcome::Silent);
+    for &key in &keys[1..] {
+        fleet.end(now, key, Outcome::Full);
+    }
+
+    let room = fleet.room(now, "engine").expect("servers are there");
+
+    assert!(room.opens > now, "{room:?}");
+}
+
+#[test]
+fn requests_at_a_silent_or_missing_server_are_lost() {
+    let mut fleet = fleet(2);
+    let key = |fleet: &Fleet, id| fleet.key(id).expect("it is known");
+    let (silent, idle) = (key(&fleet, "server-0"), key(&fleet, "server-1"));
+    let now = Time::from_millis(1_000);
+    fleet.begin(now, silent, &wish(0.0));
+    let later = now + fleet.silence("engine") + Duration::from_millis(1);
+
+    assert!(!fleet.is_lost(now, silent));
+    assert!(fleet.is_lost(later, silent));
+    assert!(!fleet.is_lost(later, idle));
+    fleet.drop_server("server-0");
+    assert!(fleet.is_lost(now, silent));
+}
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 use limpetferry_lib::call::Part;
+use limpetferry_lib::dispatch_queue::Waiting;
 use limpetferry_lib::place::Place;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::server::Outcome;
@@ -20,6 +21,7 @@
 use limpetferry_platform::header;
 use limpetferry_platform::header::Dispatch;
 
+use crate::dispatch::Permit;
 use crate::gateway::Gateway;
 use crate::http::Sender;
 use crate::refusal::RETRY_FULL;
@@ -35,6 +37,10 @@
 const MAX_REFUSALS: usize = 3;
 /// Pause before a server that is full is asked again to go on with a stream.
 const SAME_PAUSE: Duration = Duration::from_millis(40);
+/// Times that the servers of a service may refuse a request that waits for room,
+/// each one; what none has room for alone, such as a prompt beyond their memory,
+/// is not asked for any longer.
+const MAX_ROUNDS: usize = 16;
 /// Time left below which a request is not sent any more.
 const LEAST_LEFT: Duration = Duration::from_millis(5);
 
@@ -54,9 +60,19 @@
     sent: Time,
     /// When the first event of its answer came.
     first: Option<Time>,
+    /// Its right to be there, if requests wait for one.
+    permit: Option<Permit>,
 }
 
 impl Lease {
+    /// Takes the right to be at the server.
+    fn set_permit(&mut self, mut permit: Option<Permit>) {
+        if let Some(permit) = &mut permit {
+            permit.set_server(self.key);
+        }
+        self.permit = permit;
+    }
+
     /// Notes that the first event of a whole stream came.
     pub fn observe_first(&mut self) {
         let now = self.gateway.clock.now();
@@ -109,8 +125,10 @@
     fn close(&mut self, outcome: Outcome) {
         if !std::mem::replace(&mut self.over, true) {
             let now = self.gateway.clock.now();
-            let mut known = self.gateway.site.known();
-            known.fleet.end(now, self.key, outcome);
+            self.gateway.site.known().fleet.end(now, self.key, outcome);
+            if let Some(permit) = self.permit.take() {
+                permit.end(outcome);
+            }
         }
     }
 }
@@ -126,6 +144,8 @@
 pub enum Failure {
     /// No byte of it was sent.
     NotSent(String),
+    /// The server has no room, and did not run it.
+    Full,
     /// The server says that it did not run it.
     NotRun(&'static str),
     /// It may have run.
@@ -150,7 +170,7 @@
     pub fn label(&self) -> &'static str {
         match self {
             Self::NotSent(_) => "not_sent",
-            Self::NotRun(_) => "not_run",
+            Self::Full | Self::NotRun(_) => "not_run",
             Self::Unknown(_) => "unknown",
             Self::Silent => "silent",
             Self::Late => "late",
@@ -215,6 +235,7 @@
             work,
             sent: now,
             first: None,
+            permit: None,
         })
     }
 
@@ -231,11 +252,13 @@
         last_event: Option<u64>,
     ) -> Result<Started, Refusal> {
         let mut refusals = 0;
+        let mut rounds = 0;
         loop {
             if self.left() < LEAST_LEFT {
                 return Err(late(*runs));
             }
-            let Some(lease) = self.pick(tried) else {
+            let permit = self.wait_for_room(*runs).await?;
+            let Some(mut lease) = self.pick(tried) else {
                 return Err(if *runs > 0 {
                     Refusal::new(
                         StatusCode::BAD_GATEWAY,
@@ -251,16 +274,20 @@
                 });
             };
             let key = lease.key;
+            lease.set_permit(permit);
             let patience = self.patience(*runs);
             let failure = match self.send(lease, last_event, patience).await {
                 Ok(started) => return Ok(started),
                 Err(failure) => failure,
             };
-            tried.push(key);
             self.gateway
                 .attempt_failed(&self.call.attempt, key, &failure);
+            if self.may_wait(&failure, &mut rounds) {
+                continue;
+            }
+            tried.push(key);
             match failure {
-                Failure::NotSent(_) | Failure::NotRun(_) => {
+                Failure::NotSent(_) | Failure::NotRun(_) | Failure::Full => {
                     refusals += 1;
                     if refusals >= MAX_REFUSALS && *runs == 0 {
                         return Err(Refusal::later(RETRY_FULL, "servers are full; come back"));
@@ -274,6 +301,50 @@
         }
     }
 
+    /// Waits until a server has room, where servers refused for lack of it.
+    async fn wait_for_room(&self, runs: u32) -> Result<Option<Permit>, Refusal> {
+        let dispatch = &self.gateway.dispatch;
+        if !dispatch.is_on() {
+            return Ok(None);
+        }
+        let usual = self.gateway.site.known().fleet.usual(&self.service);
+        let work = usual.min(self.route.target);
+        let rank = urgency::queue_rank(self.priority(), self.remains());
+        let asked = self.now();
+        let waiting = Waiting {
+            workspace: self.caller.workspace().map(|one| one.name.clone()),
+            rank,
+            since: self.start,
+            until: asked + self.left().saturating_sub(work + LEAST_LEFT),
+            work,
+            bytes: self.body.len(),
+        };
+        let entered = dispatch.enter(&self.service, waiting).await;
+        self.steps.wait(self.now().since(asked));
+        entered.map(Some).map_err(|why| {
+            let refused = &self.gateway.meters.queue_refused;
+            refused.with_label_values(&[rank.to_string()]).inc();
+            if runs == 0 {
+                return Refusal::later(why.after(), why.to_string());
+            }
+            Refusal::new(
+                StatusCode::BAD_GATEWAY,
+                "the server broke off, and no other one has room",
+            )
+        })
+    }
+
+    /// Returns whether a request that was not run waits for room; counts how
+    /// often servers had none.
+    fn may_wait(&self, failure: &Failure, refused: &mut usize) -> bool {
+        if !self.gateway.dispatch.is_on() || !matches!(failure, Failure::Full) {
+            return false;
+        }
+        *refused += 1;
+        let servers = self.gateway.site.known().fleet.ready(&self.service);
+        *refused < MAX_ROUNDS * servers.max(1)
+    }
+
     /// Returns how long the head of an answer is waited for at one server. A
     /// request that may run again does not wait for a silent server until its
     /// caller gives up, which takes eight times the aim of a lookup.
@@ -297,14 +368,17 @@
     pub async fn start_again(&self, key: ServerKey, last_event: Option<u64>) -> Option<Started> {
         let mut tries = 0;
         while self.left() > LEAST_LEFT {
-            let lease = self.lease(key)?;
+            let mut lease = self.lease(key)?;
+            let dispatch = &self.gateway.dispatch;
+            let on = dispatch.is_on();
+            lease.set_permit(on.then(|| dispatch.enter_now(&self.service)));
             match self.send(lease, last_event, self.left()).await {
                 Ok(started) => return Some(started),
                 Err(failure) => {
                     self.gateway
                         .attempt_failed(&self.call.attempt, key, &failure);
                     tries += 1;
-                    let full = matches!(failure, Failure::NotRun(_));
+                    let full = matches!(failure, Failure::NotRun(_) | Failure::Full);
                     if !full || tries > MAX_REFUSALS {
                         return None;
                     }
@@ -460,20 +534,18 @@
             known.fleet.report(self.now(), lease.key, load);
         }
         if answer.not_run {
-            let replaced = head.status == StatusCode::MISDIRECTED_REQUEST;
-            lease.end(
-                if replaced {
-                    Outcome::Replaced
-                } else {
-                    Outcome::Full
-                },
-                false,
-            );
-            return Err(Failure::NotRun(if replaced {
-                "another server has its address"
-            } else {
-                "it is full"
-            }));
+            let (outcome, failure) = match head.status {
+                StatusCode::MISDIRECTED_REQUEST => {
+                    let why = "another server has its address";
+                    (Outcome::Replaced, Failure::NotRun(why))
+                }
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS => {
+                    (Outcome::Full, Failure::Full)
+                }
+                _ => (Outcome::Full, Failure::NotRun("it takes no such request")),
+            };
+            lease.end(outcome, false);
+            return Err(failure);
         }
         let success = head.status.is_success();
         let promise = [408, 421, 429, 503].contains(&head.status.as_u16());
@@ -500,12 +572,20 @@
     /// Returns the rank of the request among those of its server.
     fn urgency(&self) -> Option<u8> {
         let engine = matches!(self.route.kind, Kind::Stream { .. });
+        engine.then(|| urgency::rank(self.priority(), self.remains()))
+    }
+
+    /// Returns what remains of its program's time.
+    fn remains(&self) -> Option<Duration> {
         let program = self.call.program.as_ref();
-        let remains = program.and_then(|program| program.remaining);
-        let remains = remains.map(|all| all.saturating_sub(self.now().since(self.start)));
+        let then = program.and_then(|program| program.remaining);
+        then.map(|all| all.saturating_sub(self.now().since(self.start)))
+    }
+
+    /// Returns its workspace's priority, or that of its route.
+    fn priority(&self) -> u8 {
         let workspace = self.caller.workspace();
         let priority = workspace.and_then(|workspace| workspace.priority);
-        let priority = priority.unwrap_or(self.route.priority);
-        engine.then(|| urgency::rank(priority, remains))
+        priority.unwrap_or(self.route.priority)
     }
 }
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -28,6 +28,7 @@
 use crate::allowances::Allowances;
 use crate::attempt::Failure;
 use crate::clock::Clock;
+use crate::dispatch::Dispatch;
 use crate::follow::Follower;
 use crate::gateway_settings::GatewaySettings;
 use crate::held::Held;
@@ -60,6 +61,11 @@
 const LATENESS_EVERY: Duration = Duration::from_millis(50);
 /// Such looks between two summaries.
 const SUMMARY_ROUNDS: u32 = 40;
+/// Such looks between two lines about queues.
+const QUEUE_ROUNDS: u32 = 4;
+/// Part of the bytes held for bodies that one service's queue may hold, so that
+/// a full one leaves room for the requests of others.
+const QUEUED_SHARE: usize = 2;
 /// How long a stopping process goes on taking connections: the platform asks
 /// once a second whether it is ready and believes the second refusal.
 const LINGER: Duration = Duration::from_millis(2_600);
@@ -84,6 +90,8 @@
     pub allowances: Arc<Allowances>,
     /// What it knows of load beyond its own requests.
     pub loads: Arc<LoadReports>,
+    /// Requests that wait for a server with room.
+    pub dispatch: Arc<Dispatch>,
     /// Bytes of requests that it holds.
     pub held: Held,
     live: Live<GatewaySettings>,
@@ -331,6 +339,19 @@
         learned.into_iter().for_each(|note| self.note(note));
     }
 
+    /// Shows what waits for servers, in the log too once in a while.
+    fn show_queues(&self, round: u32) {
+        let states = self.dispatch.states();
+        let length: usize = states.iter().map(|state| state.length).sum();
+        let oldest = states.iter().map(|state| state.oldest).max();
+        self.meters.queued.set(length as i64);
+        let oldest = oldest.unwrap_or_default().as_millis();
+        self.meters.queue_oldest.set(oldest as i64);
+        if round.is_multiple_of(QUEUE_ROUNDS) {
+            states.iter().for_each(|state| self.note(state.note()));
+        }
+    }
+
     async fn expire(self: Arc<Self>) {
         let mut round = 0_u32;
         loop {
@@ -340,6 +361,7 @@
                 self.summarise();
             }
             self.look();
+            self.show_queues(round);
             let known = self.site.known();
             self.pool
                 .expire(self.clock.now(), |key| known.fleet.contains(key));
@@ -394,6 +416,12 @@
         turns,
         allowances,
         loads: LoadReports::new(),
+        dispatch: Dispatch::new(
+            settings.switches.queue,
+            (settings.bodies_mb << 20) / QUEUED_SHARE,
+            site.clone(),
+            clock,
+        ),
         held: Held::default(),
         live: live.clone(),
         meters: GatewayMeters::new()?,
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod clock;
 pub mod copies;
 pub mod disk;
+pub mod dispatch;
 pub mod entry_node;
 pub mod flow;
 pub mod follow;
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -75,6 +75,12 @@
     /// Requests that their workspace's allowance did not hold, by what it had no
     /// room for.
     pub over_allowance: IntCounterVec,
+    /// Requests that wait for a server with room.
+    pub queued: IntGauge,
+    /// Milliseconds that the oldest of them has been there.
+    pub queue_oldest: IntGauge,
+    /// Requests that waited in vain or found the queue full, by rank.
+    pub queue_refused: IntCounterVec,
     /// Version of the routing in force.
     pub routing: IntGauge,
     /// Servers that take requests.
@@ -108,6 +114,13 @@
                 "Requests beyond their workspace's allowance",
                 "shortage",
             )?,
+            queued: make.gauge("queued", "Requests that wait for a server with room")?,
+            queue_oldest: make.gauge("queue_oldest_ms", "Age of the oldest that waits")?,
+            queue_refused: make.counters(
+                "queue_refused_total",
+                "Requests that waited in vain or found the queue full",
+                "rank",
+            )?,
             routing: make.gauge("routing_version", "Version of the routing in force")?,
             servers: make.gauge("servers_ready", "Servers that take requests")?,
             ready: make.gauge("ready", "Whether the process takes callers")?,
--- a/net/src/steps.rs
+++ b/net/src/steps.rs
@@ -9,13 +9,15 @@
 use limpetferry_lib::server::Load;
 use limpetferry_lib::service_time::Work;
 
-/// Milliseconds from a request's first byte to each step, and the requests that
+/// Milliseconds from a request's first byte to each step, those that it waited
+/// for a server with room, and the requests that
 /// its server ran and had waiting, the prompt tokens that it was expected to
 /// read and the requests that were expected there; zero where it did not come to it.
 #[derive(Debug, Default)]
 pub struct Steps {
     read: AtomicU32,
     opened: AtomicU32,
+    queued: AtomicU32,
     sent: AtomicU32,
     head: AtomicU32,
     first: AtomicU32,
@@ -57,6 +59,13 @@
         self.slot(step).store(millis, Ordering::Relaxed);
     }
 
+    /// Notes that the request waited for a server with room, once more if it did
+    /// so before.
+    pub fn wait(&self, time: Duration) {
+        let millis = u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        self.queued.fetch_add(millis, Ordering::Relaxed);
+    }
+
     /// Notes the load that the server reported with its answer.
     pub fn report(&self, load: Load) {
         self.running.store(load.running, Ordering::Relaxed);
@@ -75,6 +84,7 @@
         let number = |slot: &AtomicU32| slot.load(Ordering::Relaxed);
         note.with("read_ms", number(&self.read))
             .with("opened_ms", number(&self.opened))
+            .with("queued_ms", number(&self.queued))
             .with("sent_ms", number(&self.sent))
             .with("head_ms", number(&self.head))
             .with("first_ms", number(&self.first))
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -70,6 +70,7 @@
     /// The plain servers.
     pub plain: Vec<StandInServer>,
     processes: BTreeMap<String, Process>,
+    switches: Switches,
     gateways: Vec<GatewaySettings>,
     keepers: Vec<KeeperSettings>,
     folder: Folder,
@@ -154,7 +155,7 @@
     ///
     /// Panics if it does not serve in time.
     pub async fn start(gateways: usize, keepers: usize, faults: usize) -> Self {
-        Self::begin(gateways, keepers, faults, false).await
+        Self::begin(gateways, keepers, faults, false, Switches::default()).await
     }
 
     /// Starts a site whose processes reach each other through wires, and waits
@@ -164,10 +165,31 @@
     ///
     /// Panics if it does not serve in time.
     pub async fn start_wired(gateways: usize, keepers: usize, faults: usize) -> Self {
-        Self::begin(gateways, keepers, faults, true).await
+        Self::begin(gateways, keepers, faults, true, Switches::default()).await
     }
 
-    async fn begin(gateways: usize, keepers: usize, faults: usize, wired: bool) -> Self {
+    /// Starts a site as [`Self::start_wired`] does, whose gateways have these
+    /// switches.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not serve in time.
+    pub async fn start_switched(
+        gateways: usize,
+        keepers: usize,
+        faults: usize,
+        switches: Switches,
+    ) -> Self {
+        Self::begin(gateways, keepers, faults, true, switches).await
+    }
+
+    async fn begin(
+        gateways: usize,
+        keepers: usize,
+        faults: usize,
+        wired: bool,
+        switches: Switches,
+    ) -> Self {
         let store = StandInPlatform::default();
         let (at, stop) = listen(any_port(), store.handler()).await;
         let mut site = Self {
@@ -175,6 +197,7 @@
             engines: Vec::new(),
             plain: Vec::new(),
             processes: BTreeMap::new(),
+            switches,
             gateways: Vec::new(),
             keepers: Vec::new(),
             folder: Folder::default(),
@@ -256,7 +279,7 @@
                 ready: free(),
                 connections: 1_000,
                 bodies_mb: 24,
-                switches: Switches::default(),
+                switches: self.switches,
                 capacity: None,
             };
             self.gateways.push(settings);
@@ -351,7 +374,8 @@
         self.engines.push(server);
     }
 
-    async fn add_plain(&mut self) {
+    /// Adds a plain server.
+    pub async fn add_plain(&mut self) {
         let server = StandInServer::default();
         let number = self.plain.len();
         self.register(&server, "plain", &format!("plain-{number}"))
