fleet, dispatch: no server takes all that the others refuse

While its neighbours refused, a server that had died was the only one that did not, and got all that waited before it counted as silent. A server now takes twice its even part of the limit at most, and one that is left out has no room.

--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -147,6 +147,11 @@
         self.pause_until.is_some_and(|until| now < until)
     }
 
+    /// Returns how many requests of this process are under way there.
+    pub(crate) fn own(&self) -> u32 {
+        self.own
+    }
+
     /// Returns whether it has been silent for longer than answers take, which is
     /// `usual` on the mean.
     pub(crate) fn is_silent(&self, now: Time, usual: Duration) -> bool {
--- a/lib/src/dispatch_queue.rs
+++ b/lib/src/dispatch_queue.rs
@@ -98,17 +98,8 @@
 pub struct Pushed<T> {
     /// Its key.
     pub key: EntryKey,
-    /// Those that had to leave for it.
-    pub displaced: Vec<Removed<T>>,
-}
-
-/// A request that no longer waits.
-#[derive(Debug, PartialEq, Eq)]
-pub struct Removed<T> {
-    /// Its rank.
-    pub rank: u8,
-    /// What its owner left with it.
-    pub owner: T,
+    /// What the owners of those left that had to leave for it.
+    pub displaced: Vec<T>,
 }
 
 #[derive(Debug)]
@@ -346,8 +337,8 @@
         key
     }
 
-    /// Removes a request, if it still waits.
-    pub fn remove(&mut self, key: EntryKey) -> Option<Removed<T>> {
+    /// Removes a request, if it still waits, and returns what its owner left.
+    pub fn remove(&mut self, key: EntryKey) -> Option<T> {
         let Entry {
             waiting,
             place,
@@ -360,12 +351,11 @@
                 self.ranks.remove(&waiting.rank);
             }
         }
-        let rank = waiting.rank;
-        Some(Removed { rank, owner })
+        Some(owner)
     }
 
     /// Removes those that can no longer be answered in their time.
-    pub fn expire(&mut self, now: Time) -> Vec<Removed<T>> {
+    pub fn expire(&mut self, now: Time) -> Vec<T> {
         let shares = self.ranks.values().flat_map(|rank| rank.shares.values());
         let places = shares.flat_map(|share| &share.places);
         let late: Vec<EntryKey> = places
@@ -378,7 +368,7 @@
     }
 
     /// Removes the request that goes next.
-    pub fn pop(&mut self, now: Time) -> Option<Removed<T>> {
+    pub fn pop(&mut self, now: Time) -> Option<T> {
         let aged = self.aged(now);
         self.urgent = if aged.is_some() { 0 } else { self.urgent + 1 };
         let number = aged.or_else(|| self.ranks.keys().next().copied())?;
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -40,11 +40,16 @@
 pub struct Room {
     /// Requests of all gateways that they run and hold.
     pub places: u32,
-    /// When one of them that refused may take requests again; now, if one did
-    /// not refuse lately. Those that are left out as outliers do not count.
-    pub opens: Time,
+    /// Requests of this process that may go to those that did not refuse lately.
+    pub spare: u32,
+    /// When the next of those that did may have room again.
+    pub opens: Option<Time>,
 }
 
+/// Most requests that go to one server, as a multiple of an even part of what
+/// may be at all of them: while the others refuse, one that took everything
+/// might be dead.
+const MOST_PART: f64 = 2.0;
 /// Requests beyond its slots that a server is taken to hold.
 const HELD: u32 = 4;
 /// Most servers of a service that are left out as outliers, as a share of those
@@ -182,19 +187,27 @@
         keys.filter(|&&key| self.takes(key)).count()
     }
 
-    /// Returns what the servers of a service have room for; `None` if none takes
-    /// requests.
-    pub fn room(&self, now: Time, service: &str) -> Option<Room> {
+    /// Returns what the servers of a service have room for, where this process
+    /// has at most `limit` requests there; `None` if none takes requests.
+    pub fn room(&self, now: Time, service: &str, limit: Option<f64>) -> Option<Room> {
         let keys = self.services.get(service)?;
         let unknown = ServiceTime::default();
         let times = self.times.get(service).unwrap_or(&unknown);
         let leave_out = self.may_leave_out(now, keys, times);
-        let ready = || keys.iter().filter(|&&key| self.takes(key));
-        let members = || ready().map(|&key| &self.members[key]);
-        let chosen = members().filter(|member| !leave_out || !member.is_out(now, times));
-        Some(Room {
-            opens: chosen.map(|member| member.opens(now)).min()?,
-            places: members().map(|member| member.server.slots + HELD).sum(),
+        let ready = keys.iter().filter(|&&key| self.takes(key));
+        let ready: Vec<&Candidate> = ready.map(|&key| &self.members[key]).collect();
+        let chosen = ready.iter();
+        let chosen = chosen.filter(|member| !leave_out || !member.is_out(now, times));
+        let chosen: Vec<&&Candidate> = chosen.collect();
+        let part = limit.map(|limit| limit * MOST_PART / chosen.len() as f64);
+        let part = part.map_or(u32::MAX, |part| part.ceil().max(1.0) as u32);
+        let opens = chosen.iter().map(|member| member.opens(now));
+        let open = chosen.iter().filter(|member| member.opens(now) <= now);
+        let spares = open.map(|member| part.saturating_sub(member.own()));
+        (!ready.is_empty()).then(|| Room {
+            places: ready.iter().map(|one| one.server.slots + HELD).sum(),
+            spare: spares.fold(0, u32::saturating_add),
+            opens: opens.filter(|&opens| opens > now).min(),
         })
     }
 
--- a/lib/tests/dispatch_queue.rs
+++ b/lib/tests/dispatch_queue.rs
@@ -56,7 +56,7 @@
 }
 
 fn pop<T>(queue: &mut DispatchQueue<T>, now: u64) -> Option<T> {
-    queue.pop(at(now)).map(|removed| removed.owner)
+    queue.pop(at(now))
 }
 
 /// Servers of the small site.
@@ -232,7 +232,7 @@
             if !servers.takes(now, server, sent) {
                 self.paused[server] = now + PAUSE_MS;
                 self.end(now, now, Outcome::Full);
-                failed += usize::from(!self.push(now, one.owner));
+                failed += usize::from(!self.push(now, one));
             }
         }
         failed
@@ -431,7 +431,6 @@
     let flood = queue.push(at(5), call("flood", CHAT, 5), Some(1_000.0), "flood 3");
 
     let displaced = small.expect("it displaces another one").displaced;
-    let displaced: Vec<&str> = displaced.iter().map(|removed| removed.owner).collect();
     assert_eq!(displaced, ["flood 2"]);
     assert_matches!(flood, Err(QueueRefusal::Full { .. }));
 }
@@ -610,7 +609,7 @@
                     match queue.push(at(now), waiting, None, number) {
                         Ok(done) => {
                             keys.push(done.key);
-                            left.extend(done.displaced.into_iter().map(|removed| removed.owner));
+                            left.extend(done.displaced);
                         }
                         Err(_) => refused += 1,
                     }
@@ -619,10 +618,10 @@
                 Step::Remove(place) => {
                     let key = keys.get(place).copied();
                     let removed = key.and_then(|key| queue.remove(key));
-                    left.extend(removed.map(|removed| removed.owner));
+                    left.extend(removed);
                 }
                 Step::Expire => {
-                    left.extend(queue.expire(at(now)).into_iter().map(|removed| removed.owner));
+                    left.extend(queue.expire(at(now)));
                 }
             }
             prop_assert!(queue.len() <= bounds.length && queue.bytes() <= bounds.bytes);
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -419,22 +419,23 @@
     };
 
     refuse(&mut fleet, "server-0");
-    let one = fleet.room(now, "engine").expect("servers are there");
+    let one = fleet.room(now, "engine", None).expect("servers are there");
     refuse(&mut fleet, "server-1");
-    let both = fleet.room(now, "engine").expect("servers are there");
-
-    assert_eq!(one.opens, now);
-    assert!(both.opens > now, "{both:?}");
-    assert_eq!(
-        fleet.room(both.opens, "engine").map(|room| room.opens),
-        Some(both.opens)
-    );
+    let both = fleet.room(now, "engine", None).expect("servers are there");
+
+    assert!(one.spare > 0, "{one:?}");
+    assert_eq!(both.spare, 0);
+    let opens = both.opens.expect("they may have room again");
+    let later = fleet
+        .room(opens, "engine", None)
+        .expect("servers are there");
+    assert!(opens > now && later.spare > 0, "{both:?} {later:?}");
     assert!(one.places >= 2 * 16);
-    assert_eq!(fleet.room(now, "another"), None);
+    assert_eq!(fleet.room(now, "another", None), None);
 }
 
 #[test]
-fn a_server_that_is_left_out_opens_no_service() {
+fn a_server_that_is_left_out_has_no_room() {
     let mut fleet = fleet(4);
     let keys: Vec<ServerKey> = (0..4)
         .filter_map(|number| fleet.key(&format!("server-{number}")))
@@ -448,9 +449,34 @@
         fleet.end(now, key, Outcome::Full);
     }
 
-    let room = fleet.room(now, "engine").expect("servers are there");
+    let room = fleet.room(now, "engine", None);
+
+    assert_eq!(room.map(|room| room.spare), Some(0));
+}
+
+#[test]
+fn no_server_takes_all_that_the_others_refuse() {
+    let mut fleet = fleet(4);
+    let now = Time::from_millis(1_000);
+    let key = |fleet: &Fleet, number: u16| fleet.key(&format!("server-{number}"));
+    for number in 1..4 {
+        let full = key(&fleet, number).expect("it is known");
+        fleet.begin(now, full, &wish(0.0));
+        fleet.end(now, full, Outcome::Full);
+    }
+    let only = key(&fleet, 0).expect("it is known");
+
+    let mut sent = 0;
+    while fleet
+        .room(now, "engine", Some(8.0))
+        .is_some_and(|room| room.spare > 0)
+    {
+        fleet.begin(now, only, &wish(0.0));
+        sent += 1;
+    }
 
-    assert!(room.opens > now, "{room:?}");
+    // Half of what may be there altogether.
+    assert_eq!(sent, 4);
 }
 
 #[test]
--- a/net/src/dispatch.rs
+++ b/net/src/dispatch.rs
@@ -59,9 +59,11 @@
     }
 
     /// Returns whether one more request may go to a server.
-    fn is_open(&self, now: Time, room: Option<Room>, lost: u32) -> bool {
+    fn is_open(&self, room: Option<Room>, lost: u32) -> bool {
+        let there: u32 = self.servers.values().sum();
+        let choosing = self.limit.running().saturating_sub(there);
         // Without servers nothing is to be waited for.
-        let open = room.is_none_or(|room| room.opens <= now);
+        let open = room.is_none_or(|room| choosing < room.spare);
         self.limit.limit().is_none() || open && self.limit.has_room(lost)
     }
 }
@@ -248,10 +250,10 @@
         let known = self.site.known();
         let mut services = self.services();
         let queue = self.queue(&mut services, service);
-        let room = known.fleet.room(now, service);
+        let room = known.fleet.room(now, service, queue.limit.limit());
         let lost = queue.lost(now, &known.fleet);
         drop(known);
-        if queue.queue.is_empty() && queue.is_open(now, room, lost) {
+        if queue.queue.is_empty() && queue.is_open(room, lost) {
             queue.limit.begin();
             return Ok(Arrival::Goes(self.permit(now, service)));
         }
@@ -260,7 +262,7 @@
         let after = queue.queue.come_back(rate);
         drop(services);
         for displaced in pushed.displaced {
-            tell(&displaced.owner, Err(QueueRefusal::Full { after }));
+            tell(&displaced, Err(QueueRefusal::Full { after }));
         }
         let key = pushed.key;
         Ok(Arrival::Waits { key, after })
@@ -307,7 +309,7 @@
     /// Takes a permit back.
     fn leave(self: &Arc<Self>, permit: &Permit) {
         let now = self.clock.now();
-        let room = self.site.known().fleet.room(now, &permit.service);
+        let room = self.site.known().fleet.room(now, &permit.service, None);
         let places = room.map_or(0, |room| room.places);
         let mut services = self.services();
         let queue = self.queue(&mut services, &permit.service);
@@ -339,21 +341,21 @@
         let known = self.site.known();
         let mut services = self.services();
         let queue = self.queue(&mut services, service);
-        let room = known.fleet.room(now, service);
+        let room = known.fleet.room(now, service, queue.limit.limit());
         let lost = queue.lost(now, &known.fleet);
         let silence = known.fleet.silence(service);
         drop(known);
         let after = queue.queue.come_back(queue.limit.rate(now));
         for late in queue.queue.expire(now) {
-            told.push((late.owner, Err(QueueRefusal::Late { after })));
+            told.push((late, Err(QueueRefusal::Late { after })));
         }
-        while queue.is_open(now, room, lost)
+        while queue.is_open(room, lost)
             && let Some(next) = queue.queue.pop(now)
         {
             queue.limit.begin();
-            told.push((next.owner, Ok(self.permit(now, service))));
+            told.push((next, Ok(self.permit(now, service))));
         }
-        let opens = room.map(|room| room.opens).filter(|&opens| opens > now);
+        let opens = room.and_then(|room| room.opens);
         // A server that dies says nothing; its requests are lost after a while.
         let due = opens.unwrap_or(now + silence);
         let planned = queue.timer.filter(|&due| due > now);
