--- a/lib/src/dispatch_queue.rs
+++ b/lib/src/dispatch_queue.rs
@@ -370,7 +370,7 @@
     /// Removes the request that goes next.
     pub fn pop(&mut self, now: Time) -> Option<T> {
         let aged = self.aged(now);
-        self.urgent = if aged.is_some() { 0 } else { self.urgent + 1 };
+        self.urgent = aged.map_or(self.urgent.saturating_add(1), |_| 0);
         let number = aged.or_else(|| self.ranks.keys().next().copied())?;
         let entries = &self.entries;
         let rank = self.ranks.get_mut(&number)?;
