--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -49,6 +49,23 @@
     Outdated,
 }
 
+/// What the servers of a service have room for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Requests of all gateways that they run and hold.
+    pub places: u32,
+    /// Requests of this process that may go to those that did not refuse lately.
+    pub spare: u32,
+    /// When the next of those that did may have room again.
+    pub opens: Option<Time>,
+}
+
+/// Most requests that go to one server, as a multiple of an even part of what
+/// may be at all of them: while the others refuse, one that took everything
+/// might be dead.
+const MOST_PART: f64 = 2.0;
+/// Requests beyond its slots that a server is taken to hold.
+const HELD: u32 = 4;
 /// Most servers of a service that are left out as outliers, as a share of those
 /// that take requests.
 const MOST_OUT: f64 = 0.34;
@@ -194,6 +211,46 @@
         keys.filter(|&&key| self.takes(key)).count()
     }
 
+    /// Returns what the servers of a service have room for, where this process
+    /// has at most `limit` requests there; `None` if none takes requests.
+    pub fn room(&self, now: Time, service: &str, limit: Option<f64>) -> Option<Room> {
+        let keys = self.services.get(service)?;
+        let unknown = ServiceTime::default();
+        let times = self.times.get(service).unwrap_or(&unknown);
+        let leave_out = self.may_leave_out(now, keys, times);
+        let ready = keys.iter().filter(|&&key| self.takes(key));
+        let ready: Vec<&Candidate> = ready.map(|&key| &self.members[key]).collect();
+        let chosen = ready.iter();
+        let chosen = chosen.filter(|member| !leave_out || !member.is_out(now, times));
+        let chosen: Vec<&&Candidate> = chosen.collect();
+        let part = limit.map(|limit| limit * MOST_PART / chosen.len() as f64);
+        let part = part.map_or(u32::MAX, |part| part.ceil().max(1.0) as u32);
+        let opens = chosen.iter().map(|member| member.opens(now));
+        let open = chosen.iter().filter(|member| member.opens(now) <= now);
+        let spares = open.map(|member| part.saturating_sub(member.own()));
+        (!ready.is_empty()).then(|| Room {
+            places: ready.iter().map(|one| one.server.slots + HELD).sum(),
+            spare: spares.fold(0, u32::saturating_add),
+            opens: opens.filter(|&opens| opens > now).min(),
+        })
+    }
+
+    /// Returns whether nothing is to be expected soon of requests at a server: it
+    /// is gone, or silent for longer than its answers take.
+    pub fn is_lost(&self, now: Time, key: ServerKey) -> bool {
+        let Some(member) = self.members.get(key) else {
+            return true;
+        };
+        member.is_silent(now, self.usual(&member.server.service))
+    }
+
+    /// Returns how long a service takes to answer on the mean; zero if nothing is
+    /// known of it.
+    pub fn usual(&self, service: &str) -> Duration {
+        let times = self.times.get(service);
+        times.map_or(Duration::ZERO, ServiceTime::answer)
+    }
+
     /// Chooses the server of `service` where a request costs least, by its
     /// queue, its batch and what it would have to read of the prompt. Servers
     /// that just failed are chosen only if there are no other ones.
@@ -247,8 +304,7 @@
     /// Returns how long a service's servers are silent before they count as
     /// outliers.
     pub fn silence(&self, service: &str) -> Duration {
-        let times = self.times.get(service);
-        outlier::silence(times.map_or(Duration::ZERO, ServiceTime::answer))
+        outlier::silence(self.usual(service))
     }
 
     /// Returns what the paces of a service's servers are measured by; `None` if
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -556,3 +556,90 @@
     let counts = uses[0].counts;
     assert_eq!((counts.running, counts.ended, counts.shed), (2, 1, 1));
 }
+
+#[test]
+fn a_service_opens_with_the_first_of_its_servers_that_did_not_refuse_lately() {
+    let mut fleet = fleet(2);
+    let now = Time::from_millis(1_000);
+    let refuse = |fleet: &mut Fleet, id| {
+        let key = fleet.key(id).expect("it is known");
+        fleet.begin(now, key, &wish(0.0));
+        fleet.end(now, key, Outcome::Full);
+    };
+
+    refuse(&mut fleet, "server-0");
+    let one = fleet.room(now, "engine", None).expect("servers are there");
+    refuse(&mut fleet, "server-1");
+    let both = fleet.room(now, "engine", None).expect("servers are there");
+
+    assert!(one.spare > 0, "{one:?}");
+    assert_eq!(both.spare, 0);
+    let opens = both.opens.expect("they may have room again");
+    let later = fleet
+        .room(opens, "engine", None)
+        .expect("servers are there");
+    assert!(opens > now && later.spare > 0, "{both:?} {later:?}");
+    assert!(one.places >= 2 * 16);
+    assert_eq!(fleet.room(now, "another", None), None);
+}
+
+#[test]
+fn a_server_that_is_left_out_has_no_room() {
+    let mut fleet = fleet(4);
+    let keys: Vec<ServerKey> = (0..4)
+        .filter_map(|number| fleet.key(&format!("server-{number}")))
+        .collect();
+    let now = Time::from_millis(1_000);
+    for &key in &keys {
+        fleet.begin(now, key, &wish(0.0));
+    }
+    fleet.end(now, keys[0], Outcome::Silent);
+    for &key in &keys[1..] {
+        fleet.end(now, key, Outcome::Full);
+    }
+
+    let room = fleet.room(now, "engine", None);
+
+    assert_eq!(room.map(|room| room.spare), Some(0));
+}
+
+#[test]
+fn no_server_takes_all_that_the_others_refuse() {
+    let mut fleet = fleet(4);
+    let now = Time::from_millis(1_000);
+    let key = |fleet: &Fleet, number: u16| fleet.key(&format!("server-{number}"));
+    for number in 1..4 {
+        let full = key(&fleet, number).expect("it is known");
+        fleet.begin(now, full, &wish(0.0));
+        fleet.end(now, full, Outcome::Full);
+    }
+    let only = key(&fleet, 0).expect("it is known");
+
+    let mut sent = 0;
+    while fleet
+        .room(now, "engine", Some(8.0))
+        .is_some_and(|room| room.spare > 0)
+    {
+        fleet.begin(now, only, &wish(0.0));
+        sent += 1;
+    }
+
+    // Half of what may be there altogether.
+    assert_eq!(sent, 4);
+}
+
+#[test]
+fn requests_at_a_silent_or_missing_server_are_lost() {
+    let mut fleet = fleet(2);
+    let key = |fleet: &Fleet, id| fleet.key(id).expect("it is known");
+    let (silent, idle) = (key(&fleet, "server-0"), key(&fleet, "server-1"));
+    let now = Time::from_millis(1_000);
+    fleet.begin(now, silent, &wish(0.0));
+    let later = now + fleet.silence("engine") + Duration::from_millis(1);
+
+    assert!(!fleet.is_lost(now, silent));
+    assert!(fleet.is_lost(later, silent));
+    assert!(!fleet.is_lost(later, idle));
+    fleet.drop_server("server-0");
+    assert!(fleet.is_lost(now, silent));
+}
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -82,6 +82,12 @@
     pub admitted: IntGauge,
     /// Tries at further servers that were left out for want of budget.
     pub not_retried: IntCounter,
+    /// Requests that wait for a server with room.
+    pub queued: IntGauge,
+    /// Milliseconds that the oldest of them has been there.
+    pub queue_oldest: IntGauge,
+    /// Requests that waited in vain or found the queue full, by rank.
+    pub queue_refused: IntCounterVec,
     /// Version of the routing in force.
     pub routing: IntGauge,
     /// Servers that take requests.
@@ -132,6 +138,13 @@
                 "retries_left_out_total",
                 "Tries at further servers beyond the retry budget",
             )?,
+            queued: make.gauge("queued", "Requests that wait for a server with room")?,
+            queue_oldest: make.gauge("queue_oldest_ms", "Age of the oldest that waits")?,
+            queue_refused: make.counters(
+                "queue_refused_total",
+                "Requests that waited in vain or found the queue full",
+                "rank",
+            )?,
             routing: make.gauge("routing_version", "Version of the routing in force")?,
             servers: make.gauge("servers_ready", "Servers that take requests")?,
             ready: make.gauge("ready", "Whether the process takes callers")?,
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -184,6 +184,21 @@
         Self::begin(gateways, keepers, faults, true, Switches::default()).await
     }
 
+    /// Starts a site as [`Self::start_wired`] does, whose gateways have these
+    /// switches.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not serve in time.
+    pub async fn start_wired_switched(
+        gateways: usize,
+        keepers: usize,
+        faults: usize,
+        switches: Switches,
+    ) -> Self {
+        Self::begin(gateways, keepers, faults, true, switches).await
+    }
+
     async fn begin(
         gateways: usize,
         keepers: usize,
@@ -375,7 +390,8 @@
         self.engines.push(server);
     }
 
-    async fn add_plain(&mut self) {
+    /// Adds a plain server.
+    pub async fn add_plain(&mut self) {
         let server = StandInServer::default();
         let number = self.plain.len();
         self.register(&server, "plain", &format!("plain-{number}"))
