handoff: which requests a gateway hands over, and to which other one

The balancer gives each gateway as many callers, whatever its link and processor can do. A turn moves its history over the link several times, and passing it on as it came moves its body twice, so that a weak gateway can pass on many more turns than it can serve. The decision compares the time that a request takes here with the time of the way and of the target, both by their power, their requests under way and their lateness.

An idle weak gateway would serve turns five times slower than the one beside it until it is behind, and all would swing together.

--- /dev/null
+++ b/lib/tests/handoff.rs
@@ -0,0 +1,340 @@
+//! One data centre is rushed: the balancer gives each of its gateways as many
+//! callers, those with a link of 22 Mbit/s as those with 200.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use limpetferry_lib::handoff::Handoff;
+use limpetferry_lib::handoff::Identity;
+use limpetferry_lib::handoff::OwnLoad;
+use limpetferry_lib::handoff_target::HopEnd;
+use limpetferry_lib::load_report::GatewayState;
+use limpetferry_lib::time::Time;
+use limpetferry_lib::turn_cost::Offer;
+use limpetferry_lib::turn_cost::Power;
+
+const WEAK: Power = Power {
+    link_mbps: 22.0,
+    cores: 0.068,
+};
+const STRONG: Power = Power {
+    link_mbps: 200.0,
+    cores: 0.5,
+};
+/// A turn with kept history as a caller sends it.
+const TURN: Offer = Offer {
+    body: 17_000,
+    kept: true,
+    handed: false,
+};
+/// A call of a tool.
+const CALL: Offer = Offer {
+    body: 300,
+    kept: false,
+    handed: false,
+};
+/// Bytes that a turn moves with its history.
+const MOVED: u64 = 130_000;
+const IDLE: OwnLoad = OwnLoad {
+    late: Duration::from_millis(4),
+    requests: 3,
+};
+const NOW: Time = Time::from_millis(10_000);
+
+fn gateway(power: Power) -> Handoff {
+    let mut handoff = Handoff::new(Identity {
+        node: "own".into(),
+        centre: "a".into(),
+        power,
+    });
+    handoff.cost().observe_moved(MOVED);
+    handoff.cost().observe_stay(Duration::from_millis(600));
+    handoff
+}
+
+fn other(node: &str, centre: &str, power: Power) -> GatewayState {
+    GatewayState {
+        node: node.into(),
+        centre: centre.into(),
+        address: Some(SocketAddr::from(([127, 0, 0, 1], 4_000))),
+        link_mbps: power.link_mbps as u32,
+        cpu_milli: (power.cores * 1_000.0) as u32,
+        late_ms: 4,
+        requests: 3,
+    }
+}
+
+fn busy(mut state: GatewayState, requests: u32, late_ms: u32) -> GatewayState {
+    state.requests = requests;
+    state.late_ms = late_ms;
+    state
+}
+
+fn draws(number: u32) -> [f64; 2] {
+    let part = |step: f64| (f64::from(number) * step).fract();
+    [part(0.618_034), part(0.754_878)]
+}
+
+/// Hands over `count` turns, one after the other, and counts where they go.
+fn spread(
+    handoff: &mut Handoff,
+    own: OwnLoad,
+    others: &[GatewayState],
+    count: u32,
+) -> BTreeMap<Arc<str>, u32> {
+    let mut went = BTreeMap::new();
+    for number in 0..count {
+        let target = handoff.choose(NOW, own, TURN, others, draws(number));
+        let node = target.map_or("own".into(), |state| state.node.clone());
+        handoff.begin(&node);
+        *went.entry(node).or_insert(0) += 1;
+    }
+    went
+}
+
+fn chosen(
+    handoff: &mut Handoff,
+    now: Time,
+    own: OwnLoad,
+    others: &[GatewayState],
+) -> Option<Arc<str>> {
+    let target = handoff.choose(now, own, TURN, others, [0.3, 0.7]);
+    target.map(|state| state.node.clone())
+}
+
+#[test]
+fn a_weak_gateway_hands_over_its_turns_and_a_strong_one_none() {
+    let mut weak = gateway(WEAK);
+    let mut strong = gateway(STRONG);
+    let of_weak = [other("strong", "a", STRONG), other("weak", "a", WEAK)];
+    let of_strong = [other("weak", "a", WEAK), other("other", "a", STRONG)];
+
+    let by_weak = chosen(&mut weak, NOW, IDLE, &of_weak);
+    let by_strong = chosen(&mut strong, NOW, IDLE, &of_strong);
+
+    assert_eq!(by_weak.as_deref(), Some("strong"));
+    assert_eq!(by_strong, None);
+}
+
+#[test]
+fn small_calls_of_an_idle_weak_gateway_are_served_there() {
+    let mut weak = gateway(WEAK);
+    let others = [other("strong", "a", STRONG)];
+    let idle = OwnLoad {
+        late: Duration::ZERO,
+        requests: 1,
+    };
+
+    let target = weak.choose(NOW, idle, CALL, &others, [0.1, 0.9]);
+
+    assert!(!weak.may_gain(idle, CALL));
+    assert_eq!(target, None);
+}
+
+#[test]
+fn gateways_that_are_all_behind_alike_keep_their_turns() {
+    let late = Duration::from_millis(60);
+    for power in [WEAK, STRONG] {
+        let mut handoff = gateway(power);
+        let others: Vec<GatewayState> = (0..6)
+            .map(|number| busy(other(&format!("g{number}"), "a", power), 20, 60))
+            .collect();
+        let own = OwnLoad { late, requests: 20 };
+
+        let went = spread(&mut handoff, own, &others, 50);
+
+        assert_eq!(went, BTreeMap::from([("own".into(), 50)]));
+    }
+}
+
+#[test]
+fn what_a_weak_gateway_hands_over_is_spread_by_the_room_of_its_targets() {
+    let mut weak = gateway(WEAK);
+    let half = Power {
+        link_mbps: 100.0,
+        cores: 0.25,
+    };
+    let others = [
+        other("half", "a", half),
+        other("strong-1", "a", STRONG),
+        other("strong-2", "a", STRONG),
+    ];
+
+    let went = spread(&mut weak, IDLE, &others, 30);
+
+    let count = |node: &str| went.get(node).copied().unwrap_or(0);
+    assert!(count("strong-1") >= 5 && count("strong-2") >= 5, "{went:?}");
+    assert!(count("half") <= count("strong-1"), "{went:?}");
+    assert!(count("half") <= count("strong-2"), "{went:?}");
+}
+
+#[test]
+fn a_share_of_each_target_is_left_for_its_own_callers() {
+    let mut weak = gateway(WEAK);
+    let one = [other("strong", "a", STRONG)];
+
+    let went = spread(&mut weak, IDLE, &one, 1_000);
+
+    let handed = f64::from(went["strong"]) + 3.0;
+    // 130 kB take 5.2 ms of 200 Mbit/s, so that 115 turns of 0.6 s fill it.
+    assert!(handed <= 115.0 * 0.7 + 1.0, "{went:?}");
+    let told = [busy(other("strong", "a", STRONG), 10, 4)];
+    assert!(chosen(&mut weak, NOW, IDLE, &told).is_some());
+}
+
+#[test]
+fn only_a_rushed_data_centre_spills_to_others_and_it_returns_late() {
+    let mut weak = gateway(WEAK);
+    let state = |late: u32| {
+        [
+            busy(other("near", "a", STRONG), 100, late),
+            other("far", "b", STRONG),
+        ]
+    };
+    let own = |late: u64| OwnLoad {
+        late: Duration::from_millis(late),
+        requests: 10,
+    };
+
+    let calm = chosen(
+        &mut weak,
+        NOW,
+        own(10),
+        &[other("near", "a", STRONG), other("far", "b", STRONG)],
+    );
+    let rushed = chosen(&mut weak, NOW, own(90), &state(90));
+    let fewer = [
+        busy(other("near", "a", STRONG), 85, 35),
+        state(0)[1].clone(),
+    ];
+    let still = chosen(&mut weak, NOW, own(40), &fewer);
+    let quiet = [other("near", "a", STRONG), other("far", "b", STRONG)];
+    let again = chosen(&mut weak, NOW, own(4), &quiet);
+
+    assert_eq!(calm.as_deref(), Some("near"));
+    assert_eq!(rushed.as_deref(), Some("far"));
+    assert_eq!(still.as_deref(), Some("far"));
+    assert_eq!(again.as_deref(), Some("near"));
+    assert!(!weak.is_rushed());
+}
+
+#[test]
+fn a_data_centre_that_is_not_rushed_keeps_its_turns_whoever_idles_elsewhere() {
+    let mut weak = gateway(WEAK);
+    let others = [other("far", "b", STRONG)];
+    let own = OwnLoad {
+        late: Duration::from_millis(20),
+        requests: 2,
+    };
+
+    let target = chosen(&mut weak, NOW, own, &others);
+
+    assert_eq!(target, None);
+}
+
+#[test]
+fn a_late_target_is_left_out_and_tried_again_each_time_later() {
+    let mut weak = gateway(WEAK);
+    let one = [other("strong", "a", STRONG)];
+    let late = HopEnd::Answered {
+        hop: Duration::from_millis(400),
+    };
+    let mut now = NOW;
+    let mut pauses = Vec::new();
+
+    for _ in 0..3 {
+        assert!(chosen(&mut weak, now, IDLE, &one).is_some());
+        weak.begin(&one[0].node);
+        weak.end(now, "strong", late);
+        let mut pause = 0;
+        while chosen(&mut weak, now, IDLE, &one).is_none() {
+            now = now + Duration::from_millis(50);
+            pause += 50;
+        }
+        pauses.push(pause);
+    }
+
+    assert!(pauses[0] > 0, "{pauses:?}");
+    assert!(pauses.is_sorted_by(|a, b| a < b), "{pauses:?}");
+}
+
+#[test]
+fn a_target_that_failed_is_trusted_again_once_it_has_answered_in_time() {
+    let mut weak = gateway(WEAK);
+    let one = [other("strong", "a", STRONG)];
+    let in_time = HopEnd::Answered {
+        hop: Duration::from_millis(2),
+    };
+    chosen(&mut weak, NOW, IDLE, &one);
+
+    weak.end(NOW, "strong", HopEnd::Failed);
+    let after_failure = chosen(&mut weak, NOW, IDLE, &one);
+    weak.end(NOW, "strong", in_time);
+    let after_answer = chosen(&mut weak, NOW, IDLE, &one);
+
+    assert_eq!(after_failure, None);
+    assert!(after_answer.is_some());
+}
+
+#[test]
+fn a_caller_that_leaves_says_nothing_of_the_target() {
+    let mut weak = gateway(WEAK);
+    let one = [other("strong", "a", STRONG)];
+    chosen(&mut weak, NOW, IDLE, &one);
+
+    weak.end(NOW, "strong", HopEnd::Left);
+
+    assert!(chosen(&mut weak, NOW, IDLE, &one).is_some());
+}
+
+#[test]
+fn without_gateways_that_take_requests_nothing_is_handed_over() {
+    let mut weak = gateway(WEAK);
+    let mut stopping = other("strong", "a", STRONG);
+    stopping.address = None;
+    let mut own = other("own", "a", STRONG);
+    own.node = "own".into();
+
+    assert_eq!(chosen(&mut weak, NOW, IDLE, &[]), None);
+    assert_eq!(chosen(&mut weak, NOW, IDLE, &[stopping, own]), None);
+}
+
+#[test]
+fn a_request_that_was_handed_over_is_not_handed_over_again() {
+    let mut weak = gateway(WEAK);
+    let others = [other("strong", "a", STRONG)];
+    let handed = Offer {
+        handed: true,
+        ..TURN
+    };
+
+    let target = weak.choose(NOW, IDLE, handed, &others, [0.1, 0.9]);
+
+    assert_eq!(target, None);
+}
+
+#[test]
+fn a_gateway_hands_over_to_few_of_many_and_others_to_other_ones() {
+    let many: Vec<GatewayState> = (0..200)
+        .map(|number| other(&format!("g{number}"), "a", STRONG))
+        .collect();
+    let mut first = gateway(WEAK);
+    let mut second = Handoff::new(Identity {
+        node: "second".into(),
+        centre: "a".into(),
+        power: WEAK,
+    });
+    second.cost().observe_moved(MOVED);
+
+    let of_first = spread(&mut first, IDLE, &many, 300);
+    let of_second = spread(&mut second, IDLE, &many, 300);
+
+    assert!(of_first.len() <= 12, "{of_first:?}");
+    assert!(of_second.len() <= 12, "{of_second:?}");
+    assert_ne!(
+        of_first.keys().collect::<Vec<_>>(),
+        of_second.keys().collect::<Vec<_>>()
+    );
+}
