handoff: gateways hand requests to each other over h2

One connection from a gateway to a target, a stream a request: the caller's head and body go over as they came, the answer comes back at the pace at which its caller reads. The target takes the request's usual way. What the other end says decides what the caller is told: 502 once it may have run, "not run" only by a refused stream or a connection that is left, and a cut for a cut.

A connection is made beside the first requests, which are served here, so that none waits for a gateway that is gone.

Weighed: bincode frames on the keepers' links. They have no flow control a request, so that one caller which does not read would hold up all others.

--- a/lib/src/handoff_target.rs
+++ b/lib/src/handoff_target.rs
@@ -31,8 +31,6 @@
     Full,
     /// There was no answer.
     Failed,
-    /// The caller left before there was an answer.
-    Left,
 }
 
 /// One target.
@@ -75,7 +73,6 @@
                 self.failures = 0;
                 self.paused = None;
             }
-            HopEnd::Left => {}
             HopEnd::Answered { .. } | HopEnd::Full | HopEnd::Failed => self.pause(now),
         }
     }
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -1,5 +1,6 @@
 //! A gateway: takes callers' requests and passes them to servers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -19,7 +20,9 @@
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::load_shed::LoadShed;
 use limpetferry_lib::retry_hint::RetryHints;
+use limpetferry_lib::routing::Kind;
 use limpetferry_lib::routing::Limits;
+use limpetferry_lib::routing::Route;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::wish::ServerKey;
 use limpetferry_lib::workspace::Workspace;
@@ -30,6 +33,10 @@
 use crate::clock::Clock;
 use crate::follow::Follower;
 use crate::gateway_settings::GatewaySettings;
+use crate::handoff::Handoffs;
+use crate::handoff::Served;
+use crate::handoff_server;
+use crate::handoff_server::HopHandler;
 use crate::held::Held;
 use crate::http;
 use crate::http::Body;
@@ -84,6 +91,8 @@
     pub allowances: Arc<Allowances>,
     /// What it knows of load beyond its own requests.
     pub loads: Arc<LoadReports>,
+    /// What hands requests over to other gateways, where the settings ask for it.
+    pub handoffs: Option<Arc<Handoffs>>,
     /// Bytes of requests that it holds.
     pub held: Held,
     live: Live<GatewaySettings>,
@@ -155,6 +164,41 @@
         shed.observe_answer(took);
     }
 
+    /// Returns how late it is with its work.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn lateness(&self) -> Duration {
+        let shed = self.shed.lock().expect("no panic while locked");
+        shed.lateness()
+    }
+
+    /// Returns the address at which it takes requests from other gateways;
+    /// `None` if it takes none.
+    pub fn handoff_address(&self) -> Option<SocketAddr> {
+        let handoffs = self.handoffs.as_ref().filter(|_| self.is_ready())?;
+        Some(handoffs.address())
+    }
+
+    /// Counts a stream as one that is served here.
+    pub fn serve(self: &Arc<Self>, route: &Route, start: Time) -> Option<Served> {
+        let handoffs = self.handoffs.as_ref()?;
+        let stream = matches!(route.kind, Kind::Stream { .. });
+        stream.then(|| handoffs.serve(self, start))
+    }
+
+    /// Notes the bytes that the link carried for a turn with kept history.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn observe_moved(&self, bytes: u64) {
+        if let Some(handoffs) = &self.handoffs {
+            handoffs.observe_moved(bytes);
+        }
+    }
+
     /// Measures how late timers fire, for as long as the process runs.
     async fn measure_lateness(self: Arc<Self>) {
         loop {
@@ -191,7 +235,8 @@
         }
     }
 
-    fn note(&self, note: Note) {
+    /// Writes a line.
+    pub fn note(&self, note: Note) {
         log::note(&self.node, &note);
     }
 
@@ -291,7 +336,11 @@
                 remains.map_or(-1, |remains| remains.as_millis() as i64),
             )
             .with("waited_ms", self.waited(job.start));
-        job.steps.tell(note)
+        let note = job.steps.tell(note);
+        match &job.hop {
+            Some(hop) => note.with("taken_over", &hop.from),
+            None => note,
+        }
     }
 
     fn ready_answer(&self) -> Response<Body> {
@@ -340,6 +389,9 @@
                 self.summarise();
             }
             self.look();
+            if let Some(handoffs) = &self.handoffs {
+                handoffs.expire(self.clock.now());
+            }
             let known = self.site.known();
             self.pool
                 .expire(self.clock.now(), |key| known.fleet.contains(key));
@@ -394,6 +446,7 @@
         turns,
         allowances,
         loads: LoadReports::new(),
+        handoffs: Handoffs::new(&settings),
         held: Held::default(),
         live: live.clone(),
         meters: GatewayMeters::new()?,
@@ -441,15 +494,19 @@
         closed,
     ))
     .detach();
+    let (leave, left) = async_channel::bounded::<()>(1);
+    let taking = take_over(&gateway, &settings, left)?;
     let _ = stop.recv().await;
     let begun = clock.now();
     gateway.stopping.store(true, Ordering::Relaxed);
+    leave.close();
     gateway.note(Note::new("stopping"));
     smol::Timer::after(LINGER).await;
     close.close();
     let limit = Duration::from_millis(live.get().common.stop_ms).saturating_sub(STOP_SPARE);
     let left = limit.saturating_sub(clock.now().since(begun));
-    let ended = within(left, serving).await.is_some();
+    let ending = futures_lite::future::zip(serving, taking);
+    let ended = within(left, ending).await.is_some();
     gateway.note(
         Note::new("stopped")
             .with("all_ended", ended)
@@ -463,10 +520,37 @@
     let gateway = gateway.clone();
     Arc::new(move |request| {
         let gateway = gateway.clone();
-        Box::pin(relay::answer(gateway, request))
+        Box::pin(relay::answer(gateway, request, None))
     })
 }
 
+/// Takes requests from other gateways, where the settings ask for it, until
+/// `stop` says so.
+///
+/// # Errors
+///
+/// Returns an error if the address for them cannot be used.
+fn take_over(
+    gateway: &Arc<Gateway>,
+    settings: &GatewaySettings,
+    stop: Receiver<()>,
+) -> eyre::Result<smol::Task<()>> {
+    if gateway.handoffs.is_none() {
+        return Ok(smol::spawn(async {}));
+    }
+    let listener = bind("common.peers", settings.common.peers)?;
+    let key = settings.common.key_digest();
+    let gateway = gateway.clone();
+    let handler: HopHandler = Arc::new(move |request, hop| {
+        let gateway = gateway.clone();
+        gateway.meters.taken_over.inc();
+        Box::pin(relay::answer(gateway, request, Some(hop)))
+    });
+    Ok(smol::spawn(handoff_server::serve(
+        listener, key, handler, stop,
+    )))
+}
+
 fn ready_handler(gateway: &Arc<Gateway>) -> Handler {
     let gateway = gateway.clone();
     Arc::new(move |_| {
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -199,7 +199,11 @@
 /// # Errors
 ///
 /// Returns a [`BodyError`] if it is too long or does not come whole.
-pub async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, BodyError> {
+pub async fn read_body<B>(body: B, limit: usize) -> Result<Bytes, BodyError>
+where
+    B: hyper::body::Body<Data = Bytes>,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     if hyper::body::Body::size_hint(&body).lower() > limit as u64 {
         return Err(BodyError::TooLong);
     }
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -75,6 +75,13 @@
     /// Requests that their workspace's allowance did not hold, by what it had no
     /// room for.
     pub over_allowance: IntCounterVec,
+    /// Requests that were to be handed over to other gateways, by what became
+    /// of them there.
+    pub handed_over: IntCounterVec,
+    /// Requests that other gateways handed over.
+    pub taken_over: IntCounter,
+    /// Time that the way to another gateway and back took.
+    pub hop_time: Histogram,
     /// Version of the routing in force.
     pub routing: IntGauge,
     /// Servers that take requests.
@@ -108,6 +115,13 @@
                 "Requests beyond their workspace's allowance",
                 "shortage",
             )?,
+            handed_over: make.counters(
+                "handed_over_total",
+                "Requests handed over to other gateways",
+                "outcome",
+            )?,
+            taken_over: make.counter("taken_over_total", "Requests from other gateways")?,
+            hop_time: make.seconds("hop_seconds", "Way to another gateway and back")?,
             routing: make.gauge("routing_version", "Version of the routing in force")?,
             servers: make.gauge("servers_ready", "Servers that take requests")?,
             ready: make.gauge("ready", "Whether the process takes callers")?,
--- a/net/src/peer.rs
+++ b/net/src/peer.rs
@@ -313,7 +313,7 @@
 /// Pings the other end until it falls silent; the wait follows the round
 /// trips that were measured. `work` counts the messages of work sent: a link
 /// without any is pinged seldom.
-async fn watch_silence(ping: &mut PingPong, work: &AtomicU64) -> LinkError {
+pub(crate) async fn watch_silence(ping: &mut PingPong, work: &AtomicU64) -> LinkError {
     let mut usual = PING_LEAST / PING_FACTOR;
     loop {
         let wait = (usual * PING_FACTOR).clamp(PING_LEAST, PING_MOST);
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -13,7 +13,6 @@
 use http::Uri;
 use http::request::Parts;
 use http_body_util::BodyExt as _;
-use hyper::body::Incoming;
 use limpetferry_lib::call::Call;
 use limpetferry_lib::ledger::Begin;
 use limpetferry_lib::routing::Kind;
@@ -28,6 +27,10 @@
 use crate::attempt::Started;
 use crate::flow::Flow;
 use crate::gateway::Gateway;
+use crate::handoff;
+use crate::handoff::Arrival;
+use crate::handoff::Served;
+use crate::handoff_wire::Hop;
 use crate::held::Hold;
 use crate::http::Body;
 use crate::http::BodyError;
@@ -74,10 +77,22 @@
     pub hold: Hold,
     /// When it reached each step.
     pub steps: Steps,
+    /// The way that it took, if another gateway handed it over.
+    pub hop: Option<Hop>,
+    /// Its part of the streams that the gateway serves.
+    pub served: Option<Served>,
 }
 
-/// Answers a caller's request.
-pub async fn answer(gateway: Arc<Gateway>, request: Request<Incoming>) -> Response<Body> {
+/// Answers a caller's request, which may have come by another gateway.
+pub async fn answer<B>(
+    gateway: Arc<Gateway>,
+    request: Request<B>,
+    hop: Option<Hop>,
+) -> Response<Body>
+where
+    B: hyper::body::Body<Data = Bytes> + Send + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let start = gateway.clock.now();
     let (head, body) = request.into_parts();
     let attempt = header::attempt(&head.headers).cloned();
@@ -86,7 +101,7 @@
     let program = call.as_ref().ok().and_then(|call| call.program.as_ref());
     let program = program.map(|program| program.id.clone());
     let answer = match call {
-        Ok(call) => relay(&gateway, start, call, head, body).await,
+        Ok(call) => relay(&gateway, start, call, head, body, hop).await,
         Err(refusal) => Err(refusal),
     };
     let mut response = match answer {
@@ -114,20 +129,40 @@
     response
 }
 
-async fn relay(
+async fn relay<B>(
     gateway: &Arc<Gateway>,
     start: Time,
     call: Call,
     head: Parts,
-    body: Incoming,
-) -> Result<Response<Body>, Refusal> {
+    mut body: B,
+    hop: Option<Hop>,
+) -> Result<Response<Body>, Refusal>
+where
+    B: hyper::body::Body<Data = Bytes> + Send + Unpin,
+    B::Error: Into<Box<dyn std::error::Error + Send + Sync>>,
+{
     let target = intake::find_target(gateway, &head)?;
     let caller = intake::identify(gateway, &target, &head.headers)?;
+    let spent = hop.as_ref().map_or(Duration::ZERO, |hop| hop.spent);
+    let patience = intake::patience(&target.route, &call);
+    let limit = start + patience.saturating_sub(spent);
+    let size = body.size_hint().lower();
+    let arrival = Arrival {
+        head: &head,
+        route: &target.route,
+        attempt: &call.attempt,
+        start,
+        limit,
+        size,
+        handed: hop.is_some(),
+    };
+    if let Some(response) = handoff::hand_over(gateway, &arrival, &mut body).await? {
+        return Ok(response);
+    }
     let charge = intake::charge(gateway, &caller, &call).await?;
     intake::admit(gateway, &target.route, &call)?;
-    let limit = start + intake::patience(&target.route, &call);
-    let size = hyper::body::Body::size_hint(&body).lower() as usize;
-    let hold = intake::make_room(gateway, &target.routing, size)?;
+    let hold = intake::make_room(gateway, &target.routing, size as usize)?;
+    let served = gateway.serve(&target.route, start);
     let left = limit.since(gateway.clock.now());
     let read = within(left, read_body(body, target.routing.limits.body)).await;
     let Some(read) = read else {
@@ -151,6 +186,8 @@
         route: target.route,
         hold,
         steps: Steps::default(),
+        hop,
+        served,
     };
     job.reach(Step::Read);
     match job.route.kind {
@@ -244,6 +281,8 @@
         known.fleet.take_places(self.now(), &open.places);
         drop(known);
         if kept {
+            let moved = handoff::moved(self.body.len(), open.prompt.len());
+            self.gateway.observe_moved(moved);
             self.body = open.prompt.clone();
         }
         Ok(Some(open))
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -280,6 +280,29 @@
         self.processes.insert(node, process);
     }
 
+    /// Starts a gateway anew with other settings, and waits until it takes
+    /// callers.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not in time.
+    pub async fn change_gateway(
+        &mut self,
+        number: usize,
+        change: impl FnOnce(&mut GatewaySettings),
+    ) {
+        let settings = &mut self.gateways[number];
+        change(settings);
+        self.processes.remove(&settings.common.node);
+        self.start_gateway(number);
+        self.wait_ready().await;
+    }
+
+    /// Returns the settings of a gateway.
+    pub fn gateway_settings(&self, number: usize) -> &GatewaySettings {
+        &self.gateways[number]
+    }
+
     /// Returns a process by its name.
     ///
     /// # Panics
