handoff: docs; a gateway's own lateness is not blamed on its targets

Both ways of a handed-over request wait for this gateway's own work, so that one that is behind by more than 50 ms would have left out all of its targets when it needs them most. The bound on the way grows with the own lateness.

Weighed: taking the lateness out of the metric too; it shows what callers wait.

--- a/lib/src/handoff_target.rs
+++ b/lib/src/handoff_target.rs
@@ -9,7 +9,7 @@
 const NEAR_WAY: Duration = Duration::from_millis(1);
 /// Round trip to a gateway of another data centre until it is measured.
 const FAR_WAY: Duration = Duration::from_millis(5);
-/// Time beyond the target's own work from which on it counts as late.
+/// Time of the way from which on the target counts as late.
 const LATE_HOP: Duration = Duration::from_millis(100);
 /// Time for which a target is left out after its first failure.
 const FIRST_PAUSE: Duration = Duration::from_millis(250);
@@ -26,6 +26,9 @@
     Answered {
         /// Time that the way there and back took.
         hop: Duration,
+        /// How late this gateway was with its own work, which both ways wait
+        /// for.
+        late: Duration,
     },
     /// The target had no room for it.
     Full,
@@ -69,7 +72,7 @@
     /// Notes how a request ended there.
     pub(crate) fn end(&mut self, now: Time, end: HopEnd) {
         match end {
-            HopEnd::Answered { hop } if hop < LATE_HOP => {
+            HopEnd::Answered { hop, late } if hop < LATE_HOP + late * 2 => {
                 self.failures = 0;
                 self.paused = None;
             }
--- a/lib/tests/handoff.rs
+++ b/lib/tests/handoff.rs
@@ -240,6 +240,7 @@
     let one = [other("strong", "a", STRONG)];
     let late = HopEnd::Answered {
         hop: Duration::from_millis(400),
+        late: Duration::ZERO,
     };
     let mut now = NOW;
     let mut pauses = Vec::new();
@@ -260,12 +261,28 @@
     assert!(pauses.is_sorted_by(|a, b| a < b), "{pauses:?}");
 }
 
+#[test]
+fn a_gateway_that_is_behind_itself_does_not_leave_its_targets_out_for_that() {
+    let mut weak = gateway(WEAK);
+    let one = [other("strong", "a", STRONG)];
+    let by_own_work = HopEnd::Answered {
+        hop: Duration::from_millis(400),
+        late: Duration::from_millis(200),
+    };
+    chosen(&mut weak, NOW, IDLE, &one);
+
+    weak.end(NOW, "strong", by_own_work);
+
+    assert!(chosen(&mut weak, NOW, IDLE, &one).is_some());
+}
+
 #[test]
 fn a_target_that_failed_is_trusted_again_once_it_has_answered_in_time() {
     let mut weak = gateway(WEAK);
     let one = [other("strong", "a", STRONG)];
     let in_time = HopEnd::Answered {
         hop: Duration::from_millis(2),
+        late: Duration::ZERO,
     };
     chosen(&mut weak, NOW, IDLE, &one);
 
--- a/net/src/handoff.rs
+++ b/net/src/handoff.rs
@@ -220,7 +220,8 @@
         let mut response = result?;
         let took = take_took(response.headers_mut());
         let hop = gateway.clock.now().since(sent).saturating_sub(took);
-        self.end(gateway, &target.node, HopEnd::Answered { hop });
+        let late = gateway.lateness();
+        self.end(gateway, &target.node, HopEnd::Answered { hop, late });
         gateway.meters.hop_time.observe(hop.as_secs_f64());
         Ok(response.map(|body| body.boxed_unsync()))
     }
