--- a/lib/tests/handoff.rs
+++ b/lib/tests/handoff.rs
@@ -206,16 +206,18 @@
     );
     let rushed = chosen(&mut weak, NOW, own(90), &state(90));
     let fewer = [
-        busy(other("near", "a", STRONG), 85, 35),
+        busy(other("near", "a", STRONG), 75, 35),
         state(0)[1].clone(),
     ];
     let still = chosen(&mut weak, NOW, own(40), &fewer);
+    let not_before = chosen(&mut gateway(WEAK), NOW, own(40), &fewer);
     let quiet = [other("near", "a", STRONG), other("far", "b", STRONG)];
     let again = chosen(&mut weak, NOW, own(4), &quiet);
 
     assert_eq!(calm.as_deref(), Some("near"));
     assert_eq!(rushed.as_deref(), Some("far"));
     assert_eq!(still.as_deref(), Some("far"));
+    assert_eq!(not_before, None);
     assert_eq!(again.as_deref(), Some("near"));
     assert!(!weak.is_rushed());
 }
