handoff: the target is given 10 ms less than the caller has left

Both would end a late turn at the same moment, and the first gateway would take a target whose engine is slow for one that does not answer.

Weighed: waiting here for longer than the caller's time; its last answer would be late.

--- a/net/src/handoff.rs
+++ b/net/src/handoff.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use bytes::Bytes;
 use http::Response;
@@ -35,6 +36,10 @@
 use crate::refusal::Refusal;
 use crate::refusal::late;
 
+/// Time of the caller's that is kept back for the way of a last answer, so that
+/// the target can give it.
+const LAST_WAY: Duration = Duration::from_millis(10);
+
 /// The part of a gateway that hands requests over.
 pub struct Handoffs {
     address: SocketAddr,
@@ -205,7 +210,7 @@
         B: hyper::body::Body<Data = Bytes> + Unpin,
     {
         let sent = gateway.clock.now();
-        let spent = sent.since(arrival.start);
+        let spent = sent.since(arrival.start) + LAST_WAY;
         let left = arrival.limit.since(sent);
         self.decision().begin(&target.node);
         let result = self.links.send(link, arrival.head, body, spent, left).await;
