--- a/lib/src/service_loads.rs
+++ b/lib/src/service_loads.rs
@@ -98,6 +98,11 @@
         }
     }
 
+    /// Takes that no requests wait in this process for room.
+    pub fn clear_queued(&mut self) {
+        self.queued.clear();
+    }
+
     /// Returns how many requests for a service wait in this process for room.
     pub fn queued(&self, service: &str) -> u32 {
         self.queued.get(service).copied().unwrap_or(0)
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -1,5 +1,6 @@
 //! A gateway: takes callers' requests and passes them to servers.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -23,7 +24,9 @@
 use limpetferry_lib::overload::Refused;
 use limpetferry_lib::retry_budget::RetryBudget;
 use limpetferry_lib::retry_hint::RetryHints;
+use limpetferry_lib::routing::Kind;
 use limpetferry_lib::routing::Limits;
+use limpetferry_lib::routing::Route;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::wish::ServerKey;
 use limpetferry_lib::workspace::Workspace;
@@ -35,6 +38,10 @@
 use crate::dispatch::Dispatch;
 use crate::follow::Follower;
 use crate::gateway_settings::GatewaySettings;
+use crate::handoff::Handoffs;
+use crate::handoff::Served;
+use crate::handoff_server;
+use crate::handoff_server::HopHandler;
 use crate::held::Held;
 use crate::http;
 use crate::http::Body;
@@ -99,6 +106,8 @@
     pub loads: Arc<LoadReports>,
     /// Requests that wait for a server with room.
     pub dispatch: Arc<Dispatch>,
+    /// What hands requests over to other gateways, where the settings ask for it.
+    pub handoffs: Option<Arc<Handoffs>>,
     /// Bytes of requests that it holds.
     pub held: Held,
     live: Live<GatewaySettings>,
@@ -222,6 +231,41 @@
         shed.observe_answer(took);
     }
 
+    /// Returns how late it is with its work.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn lateness(&self) -> Duration {
+        let shed = self.shed.lock().expect("no panic while locked");
+        shed.lateness()
+    }
+
+    /// Returns the address at which it takes requests from other gateways;
+    /// `None` if it takes none.
+    pub fn handoff_address(&self) -> Option<SocketAddr> {
+        let handoffs = self.handoffs.as_ref().filter(|_| self.is_ready())?;
+        Some(handoffs.address())
+    }
+
+    /// Counts a stream as one that is served here.
+    pub fn serve(self: &Arc<Self>, route: &Route, start: Time) -> Option<Served> {
+        let handoffs = self.handoffs.as_ref()?;
+        let stream = matches!(route.kind, Kind::Stream { .. });
+        stream.then(|| handoffs.serve(self, start))
+    }
+
+    /// Notes the bytes that the link carried for a turn with kept history.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn observe_moved(&self, bytes: u64) {
+        if let Some(handoffs) = &self.handoffs {
+            handoffs.observe_moved(bytes);
+        }
+    }
+
     /// Measures how late timers fire, for as long as the process runs.
     async fn measure_lateness(self: Arc<Self>) {
         loop {
@@ -232,6 +276,8 @@
             shed.observe(late);
             self.meters.lag.set(shed.lateness().as_millis() as i64);
             self.loads.set_late(shed.lateness());
+            self.loads.set_address(self.handoff_address());
+            self.loads.set_queues(&self.dispatch.states());
             if let Some(behind) = shed.change() {
                 let note = Note::new(if behind { "behind" } else { "caught_up" })
                     .with("timers_ms", shed.timers().as_millis())
@@ -259,7 +305,8 @@
         }
     }
 
-    pub(crate) fn note(&self, note: Note) {
+    /// Writes a line.
+    pub fn note(&self, note: Note) {
         log::note(&self.node, &note);
     }
 
@@ -366,7 +413,11 @@
                 remains.map_or(-1, |remains| remains.as_millis() as i64),
             )
             .with("waited_ms", self.waited(job.start));
-        job.steps.tell(note)
+        let note = job.steps.tell(note);
+        match &job.hop {
+            Some(hop) => note.with("taken_over", &hop.from),
+            None => note,
+        }
     }
 
     fn ready_answer(&self) -> Response<Body> {
@@ -468,6 +519,9 @@
             self.look();
             self.show_load();
             self.show_queues(round);
+            if let Some(handoffs) = &self.handoffs {
+                handoffs.expire(self.clock.now());
+            }
             let known = self.site.known();
             self.pool
                 .expire(self.clock.now(), |key| known.fleet.contains(key));
@@ -529,6 +583,7 @@
             site.clone(),
             clock,
         ),
+        handoffs: Handoffs::new(&settings),
         held: Held::default(),
         live: live.clone(),
         meters: GatewayMeters::new()?,
@@ -592,15 +647,19 @@
         closed,
     ))
     .detach();
+    let (leave, left) = async_channel::bounded::<()>(1);
+    let taking = take_over(&gateway, &settings, left)?;
     let _ = stop.recv().await;
     let begun = clock.now();
     gateway.stopping.store(true, Ordering::Relaxed);
+    leave.close();
     gateway.note(Note::new("stopping"));
     smol::Timer::after(LINGER).await;
     close.close();
     let limit = Duration::from_millis(live.get().common.stop_ms).saturating_sub(STOP_SPARE);
     let left = limit.saturating_sub(clock.now().since(begun));
-    let ended = within(left, serving).await.is_some();
+    let ending = futures_lite::future::zip(serving, taking);
+    let ended = within(left, ending).await.is_some();
     gateway.note(
         Note::new("stopped")
             .with("all_ended", ended)
@@ -614,10 +673,37 @@
     let gateway = gateway.clone();
     Arc::new(move |request| {
         let gateway = gateway.clone();
-        Box::pin(relay::answer(gateway, request))
+        Box::pin(relay::answer(gateway, request, None))
     })
 }
 
+/// Takes requests from other gateways, where the settings ask for it, until
+/// `stop` says so.
+///
+/// # Errors
+///
+/// Returns an error if the address for them cannot be used.
+fn take_over(
+    gateway: &Arc<Gateway>,
+    settings: &GatewaySettings,
+    stop: Receiver<()>,
+) -> eyre::Result<smol::Task<()>> {
+    if gateway.handoffs.is_none() {
+        return Ok(smol::spawn(async {}));
+    }
+    let listener = bind("common.peers", settings.common.peers)?;
+    let key = settings.common.key_digest();
+    let gateway = gateway.clone();
+    let handler: HopHandler = Arc::new(move |request, hop| {
+        let gateway = gateway.clone();
+        gateway.meters.taken_over.inc();
+        Box::pin(relay::answer(gateway, request, Some(hop)))
+    });
+    Ok(smol::spawn(handoff_server::serve(
+        listener, key, handler, stop,
+    )))
+}
+
 fn ready_handler(gateway: &Arc<Gateway>) -> Handler {
     let gateway = gateway.clone();
     Arc::new(move |_| {
--- a/net/src/load_reports.rs
+++ b/net/src/load_reports.rs
@@ -17,6 +17,8 @@
 use limpetferry_lib::service_loads::OwnUse;
 use limpetferry_lib::time::Time;
 
+use crate::dispatch::QueueState;
+
 #[derive(Default)]
 struct Inner {
     known: KnownLoads,
@@ -52,9 +54,14 @@
         self.inner().late = late;
     }
 
-    /// Says how many requests for a service wait in the gateway for room.
-    pub fn set_queued(&self, service: &Arc<str>, count: u32) {
-        self.inner().known.set_queued(service, count);
+    /// Says which requests wait in the gateway for room.
+    pub fn set_queues(&self, queues: &[QueueState]) {
+        let known = &mut self.inner().known;
+        known.clear_queued();
+        for queue in queues {
+            let length = u32::try_from(queue.length).unwrap_or(u32::MAX);
+            known.set_queued(&queue.service, length);
+        }
     }
 
     /// Returns how many requests for a service wait in the gateway for room.
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -88,6 +88,13 @@
     pub queue_oldest: IntGauge,
     /// Requests that waited in vain or found the queue full, by rank.
     pub queue_refused: IntCounterVec,
+    /// Requests that were to be handed over to other gateways, by what became
+    /// of them there.
+    pub handed_over: IntCounterVec,
+    /// Requests that other gateways handed over.
+    pub taken_over: IntCounter,
+    /// Time that the way to another gateway and back took.
+    pub hop_time: Histogram,
     /// Version of the routing in force.
     pub routing: IntGauge,
     /// Servers that take requests.
@@ -145,6 +152,13 @@
                 "Requests that waited in vain or found the queue full",
                 "rank",
             )?,
+            handed_over: make.counters(
+                "handed_over_total",
+                "Requests handed over to other gateways",
+                "outcome",
+            )?,
+            taken_over: make.counter("taken_over_total", "Requests from other gateways")?,
+            hop_time: make.seconds("hop_seconds", "Way to another gateway and back")?,
             routing: make.gauge("routing_version", "Version of the routing in force")?,
             servers: make.gauge("servers_ready", "Servers that take requests")?,
             ready: make.gauge("ready", "Whether the process takes callers")?,
