load reports: shared parts that servers have, and servers that nobody hears from

Cause: a gateway thinks that a server lacks a shared part of 12,000 tokens until it has sent one there itself, and takes a server that it has not heard of for as loaded as the mean.

Change: reports tell where a shared part was read for the first time (nothing while nothing is new), and the answers bring it to all gateways; a server from which no gateway heard for a second while they tell is idle. A server that holds requests without an answer for longer than answers take is told of as full, so that it is not taken for idle.

Weighed: exploring at random (costs cold prompts at servers that are rightly avoided); counting only one's own silence (a gateway before 60 engines hears from each every few seconds). Tests: a_server_that_no_gateway_hears_from_is_idle_while_they_tell, a_server_that_is_silent_is_told_of_as_full, shared_parts_are_told_of_when_a_server_first_meets_them, and two of the keeper's side.

--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -7,6 +7,7 @@
 use crate::call::Part;
 use crate::hash;
 use crate::load_report::ServerSample;
+use crate::others::Others;
 use crate::outlier::Health;
 use crate::own_history::OwnHistory;
 use crate::pace::Measure;
@@ -45,6 +46,15 @@
 /// Pause after a refusal for lack of room: some requests end within it.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
 
+/// What is usual at the servers of a service.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Usual<'a> {
+    /// How long they take.
+    pub(crate) times: &'a ServiceTime,
+    /// Requests of other processes there.
+    pub(crate) others: Others,
+}
+
 /// One server.
 #[derive(Debug)]
 pub(crate) struct Candidate {
@@ -98,12 +108,13 @@
     /// hears of a server every few seconds, and one that it has not heard of is
     /// not idle. One that joined is: the others have no more reason to go there
     /// than this process had.
-    fn others(&self, now: Time, mean: f64) -> f64 {
+    fn others(&self, now: Time, others: Others) -> f64 {
+        let usual = others.usual(now, self.load_at);
         let Some(at) = self.load_at else {
-            return if self.joined { 0.0 } else { mean };
+            return if self.joined { 0.0 } else { usual };
         };
         let halves = now.since(at).as_secs_f64() / LOAD_AGE.as_secs_f64();
-        mean + (self.reported() - mean) * (-halves).exp2()
+        usual + (self.reported() - usual) * (-halves).exp2()
     }
 
     /// Returns the requests of other processes that were last reported.
@@ -112,12 +123,11 @@
         (all - f64::from(self.own_then)).max(0.0)
     }
 
-    /// Returns what a request would meet at this server, where servers have
-    /// `mean` requests of other processes.
-    pub(crate) fn work(&self, now: Time, mean: f64, parts: &[Part]) -> Work {
+    /// Returns what a request would meet at this server.
+    pub(crate) fn work(&self, now: Time, others: Others, parts: &[Part]) -> Work {
         Work {
             cold: self.cached.cold(parts),
-            others: f64::from(self.own) + self.others(now, mean),
+            others: f64::from(self.own) + self.others(now, others),
             slots: f64::from(self.server.slots),
         }
     }
@@ -141,11 +151,12 @@
         &self,
         now: Time,
         key: ServerKey,
-        times: &ServiceTime,
+        usual: &Usual<'_>,
         wish: &Wish<'_>,
         pace: f64,
     ) -> f64 {
-        let work = self.work(now, times.load(), wish.parts);
+        let times = usual.times;
+        let work = self.work(now, usual.others, wish.parts);
         let mut cost = if wish.parts.is_empty() {
             times.plain_cost(&work)
         } else {
@@ -192,8 +203,8 @@
 
     /// Notes that a request of this process goes there, and returns what it
     /// meets.
-    pub(crate) fn begin(&mut self, now: Time, mean: f64, wish: &Wish<'_>) -> Work {
-        let work = self.work(now, mean, wish.parts);
+    pub(crate) fn begin(&mut self, now: Time, others: Others, wish: &Wish<'_>) -> Work {
+        let work = self.work(now, others, wish.parts);
         self.history.note(now, self.own);
         self.own += 1;
         self.health.sent(now);
@@ -257,8 +268,13 @@
     }
 
     /// Returns the load that it reported to this process after `since`, if
-    /// nothing later is known.
-    pub(crate) fn sample(&self, since: Time, now: Time) -> Option<ServerSample> {
+    /// nothing later is known. One that has been silent for longer than answers
+    /// take, `usual` on the mean, is told of as full, so that the others do not take it for
+    /// idle.
+    pub(crate) fn sample(&self, since: Time, now: Time, usual: Duration) -> Option<ServerSample> {
+        if self.health.is_silent(now, usual) {
+            return Some(self.full_sample());
+        }
         let at = self.load_at.filter(|&at| at > since && !self.by_others)?;
         Some(ServerSample {
             start: self.server.start(),
@@ -267,6 +283,28 @@
         })
     }
 
+    fn full_sample(&self) -> ServerSample {
+        let slots = self.server.slots;
+        ServerSample {
+            start: self.server.start(),
+            load: Load {
+                running: slots,
+                waiting: slots,
+                slots,
+                pace: None,
+            },
+            age_ms: 0,
+        }
+    }
+
+    /// Returns the parts of a prompt that others may share and that it has not met
+    /// yet.
+    pub(crate) fn unmet<'a>(&self, parts: &'a [Part]) -> impl Iterator<Item = &'a Part> {
+        // The last part belongs to one line of turns.
+        let shared = parts.split_last().map_or(&[][..], |(_, shared)| shared);
+        shared.iter().filter(|part| !self.cached.has(part.id))
+    }
+
     /// Takes the load that it reported to another process at a time, if that is
     /// later than what is known, and returns how much of it is not this
     /// process's own.
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -2,6 +2,7 @@
 //! gets a request.
 
 use std::collections::HashMap;
+use std::collections::VecDeque;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -9,11 +10,13 @@
 
 use crate::call::Part;
 use crate::candidate::Candidate;
+use crate::candidate::Usual;
 use crate::flow::Counts;
 use crate::load_map::MAX_SAMPLES;
 use crate::load_map::ServerServices;
 use crate::load_report::ServerSample;
 use crate::load_report::ServerStart;
+use crate::others::Others;
 use crate::outlier;
 use crate::pace::Measure;
 use crate::pace::PaceChange;
@@ -76,6 +79,16 @@
 /// return: servers that live register anew within two seconds.
 pub const LAPSE_WAIT: Duration = Duration::from_secs(2);
 
+/// Parts of prompts remembered until other processes were told of them.
+const MOST_READ: usize = 1_024;
+
+/// A part of a prompt that a server met for the first time.
+#[derive(Clone, Copy, Debug)]
+struct ReadPart {
+    at: Time,
+    place: Place,
+}
+
 /// The servers that one process knows.
 #[derive(Debug, Default)]
 pub struct Fleet {
@@ -87,6 +100,10 @@
     times: HashMap<Arc<str>, ServiceTime>,
     /// Requests of this process that ended at servers of each service.
     ended: HashMap<Arc<str>, Counts>,
+    /// Parts that servers met for the first time, the latest last.
+    read: VecDeque<ReadPart>,
+    /// When other processes last told from which servers they heard.
+    told: Option<Time>,
     peers: HashMap<Arc<str>, Peers>,
     pace_changes: Vec<PaceChange>,
     switches: Switches,
@@ -259,6 +276,10 @@
         let unknown = ServiceTime::default();
         let times = self.times.get(service).unwrap_or(&unknown);
         let measure = self.measure(now, service, keys);
+        let usual = Usual {
+            times,
+            others: self.others(times),
+        };
         let leave_out = self.may_leave_out(now, keys, times);
         let mut best: Option<(bool, f64, ServerKey)> = None;
         let start = (wish.draw * keys.len() as f64) as usize;
@@ -272,7 +293,7 @@
             let pace = measure.map_or(1.0, |measure| {
                 member.pace(now, &measure) * member.pace.moment(now)
             });
-            let cost = member.cost(now, key, times, wish, pace);
+            let cost = member.cost(now, key, &usual, wish, pace);
             if best.is_none_or(|(p, c, _)| (paused, cost) < (p, c)) {
                 best = Some((paused, cost, key));
             }
@@ -294,11 +315,37 @@
     /// Notes that a request of this process goes to a server, and returns what
     /// it meets there.
     pub fn begin(&mut self, now: Time, key: ServerKey, wish: &Wish<'_>) -> Work {
+        let told = self.told;
         let Some(member) = self.members.get_mut(key) else {
             return Work::default();
         };
         let times = self.times.get(&member.server.service);
-        member.begin(now, times.map_or(0.0, ServiceTime::load), wish)
+        let mean = times.map_or(0.0, ServiceTime::load);
+        if self.switches.reports {
+            let start = member.server.start().0;
+            let read = member.unmet(wish.parts).map(|&part| ReadPart {
+                at: now,
+                place: Place { start, part },
+            });
+            self.read.extend(read);
+            let old = self.read.len().saturating_sub(MOST_READ);
+            self.read.drain(..old);
+        }
+        member.begin(now, Others { mean, told }, wish)
+    }
+
+    fn others(&self, times: &ServiceTime) -> Others {
+        Others {
+            mean: times.load(),
+            told: self.told,
+        }
+    }
+
+    /// Returns the parts of prompts that may be shared and that servers met for the
+    /// first time, as far as this process knows, after `since`.
+    pub fn new_places(&self, since: Time) -> Vec<Place> {
+        let newer = self.read.iter().filter(|read| read.at > since);
+        newer.map(|read| read.place).collect()
     }
 
     /// Returns how long a service's servers are silent before they count as
@@ -533,13 +580,18 @@
     /// `since`, with the latest load of each.
     pub fn samples(&self, since: Time, now: Time) -> Vec<ServerSample> {
         let members = self.members.values();
-        let samples = members.filter_map(|member| member.sample(since, now));
+        let samples = members.filter_map(|member| {
+            let times = self.times.get(&member.server.service);
+            let usual = times.map_or(Duration::ZERO, ServiceTime::answer);
+            member.sample(since, now, usual)
+        });
         samples.collect()
     }
 
     /// Takes the loads that servers reported to other processes, as far as they
     /// are later than what is known.
     pub fn hear_loads(&mut self, now: Time, samples: &[ServerSample]) {
+        self.told = Some(now);
         // Those of a list that is full were chosen, and say nothing of the mean.
         let learns = self.switches.loads && samples.len() < MAX_SAMPLES;
         for sample in samples {
--- a/lib/src/load_map.rs
+++ b/lib/src/load_map.rs
@@ -21,6 +21,7 @@
 use crate::load_report::ServerStart;
 use crate::load_report::ServiceLoad;
 use crate::load_report::ServiceUse;
+use crate::place_log::PlaceLog;
 use crate::server::Load;
 use crate::time::Time;
 
@@ -145,6 +146,7 @@
     reporters: HashMap<Arc<str>, Reporter>,
     totals: BTreeMap<Arc<str>, Total>,
     slices: VecDeque<Slice>,
+    places: PlaceLog,
     /// Usual utilization of the servers of each service.
     usual: HashMap<Arc<str>, f64>,
     /// Gateways that take requests, those with most room first.
@@ -167,11 +169,13 @@
         for sample in &report.servers {
             self.keep(now, &asker.node, sample, servers);
         }
+        self.places.put(self.serial, &asker.node, &report.places);
         LoadSummary {
             reporters: self.reporters.len() as u32,
             gateways: self.roomiest(&asker.node, &report.gateway.centre),
             services: self.others(&asker.node),
             servers: self.samples(now, &asker.node, told),
+            places: self.places.after(told, &asker.node),
         }
     }
 
--- a/lib/src/load_report.rs
+++ b/lib/src/load_report.rs
@@ -13,6 +13,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::place::Place;
 use crate::server::Load;
 use crate::time::Time;
 
@@ -76,6 +77,8 @@
     pub services: Vec<ServiceUse>,
     /// Servers that it heard from since its last report, the latest load of each.
     pub servers: Vec<ServerSample>,
+    /// Where parts of prompts were read for the first time since its last report.
+    pub places: Vec<Place>,
 }
 
 /// What all gateways have under way at a service.
@@ -106,6 +109,8 @@
     pub services: Vec<ServiceLoad>,
     /// Servers that others heard from since the asker's last report.
     pub servers: Vec<ServerSample>,
+    /// Where others had parts of prompts read since then.
+    pub places: Vec<Place>,
 }
 
 /// The load of a service as one gateway knows it.
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -14,6 +14,7 @@
 use limpetferry_lib::server::Outcome;
 use limpetferry_lib::server::Server;
 use limpetferry_lib::server::ServerState;
+use limpetferry_lib::switches::Switches;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::wish::Connected;
 use limpetferry_lib::wish::ServerKey;
@@ -643,3 +644,79 @@
     fleet.drop_server("server-0");
     assert!(fleet.is_lost(now, silent));
 }
+
+/// Returns a fleet in use that hears from other processes, at a time when nobody
+/// has heard from server 0 for a while.
+fn told_fleet(now: Time) -> Fleet {
+    let mut fleet = fleet(8);
+    report_all(&mut fleet, 8, 12, 20);
+    let samples: Vec<_> = (1..8).map(|number| sample(number, 12, 50)).collect();
+    fleet.hear_loads(now, &samples);
+    fleet
+}
+
+/// Gateways that start together find servers whose prompts are cold too dear, all
+/// of them alike, so that some never get a request.
+#[test]
+fn a_server_that_no_gateway_hears_from_is_idle_while_they_tell() {
+    let now = Time::from_millis(5_000);
+    let mut told = told_fleet(now);
+    let mut untold = fleet(8);
+    report_all(&mut untold, 8, 12, 20);
+
+    let met = others(&mut told, now, 0);
+    let unknown = others(&mut untold, now, 0);
+
+    assert!(met < 0.5, "{met}");
+    assert!(unknown > 6.0, "{unknown}");
+}
+
+#[test]
+fn what_others_told_long_ago_makes_no_server_idle() {
+    let mut fleet = told_fleet(Time::from_millis(5_000));
+
+    let met = others(&mut fleet, Time::from_millis(6_000), 0);
+
+    assert!(met > 6.0, "{met}");
+}
+
+/// A server that hangs gives no load to anybody; it must not draw the requests of
+/// all gateways as if it were idle.
+#[test]
+fn a_server_that_is_silent_is_told_of_as_full() {
+    let mut fleet = fleet(2);
+    let key = fleet.key("server-0").expect("it is there");
+    fleet.begin(Time::default(), key, &wish(0.0));
+    let late = Time::default() + fleet.silence("engine") + Duration::from_millis(1);
+
+    let told = fleet.samples(Time::default(), late);
+
+    let loads: Vec<Load> = told.iter().map(|sample| sample.load).collect();
+    assert_eq!(loads.len(), 1);
+    assert!(loads[0].running + loads[0].waiting > 16, "{loads:?}");
+}
+
+#[test]
+fn shared_parts_are_told_of_when_a_server_first_meets_them() {
+    let mut fleet = fleet(1);
+    fleet.set_switches(Switches {
+        reports: true,
+        ..Switches::default()
+    });
+    let part = |id, tokens| Part { id, tokens };
+    let prompt = [part(1, 12_000), part(2, 800), part(3, 300)];
+    let with = Wish {
+        parts: &prompt,
+        ..wish(0.0)
+    };
+    let key = fleet.key("server-0").expect("it is there");
+
+    fleet.begin(Time::from_millis(10), key, &with);
+    let first = fleet.new_places(Time::default());
+    fleet.begin(Time::from_millis(20), key, &with);
+    let later = fleet.new_places(Time::from_millis(10));
+
+    let parts: Vec<Part> = first.iter().map(|place| place.part).collect();
+    assert_eq!(parts, prompt[..2]);
+    assert_eq!(later, []);
+}
--- a/lib/tests/load_map.rs
+++ b/lib/tests/load_map.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use limpetferry_lib::allowance::ProcessStart;
+use limpetferry_lib::call::Part;
 use limpetferry_lib::fleet::Fleet;
 use limpetferry_lib::flow::Counts;
 use limpetferry_lib::id::Boot;
@@ -17,6 +18,7 @@
 use limpetferry_lib::load_report::ServerStart;
 use limpetferry_lib::load_report::ServiceLoads as _;
 use limpetferry_lib::load_report::ServiceUse;
+use limpetferry_lib::place::Place;
 use limpetferry_lib::report_times::Duty;
 use limpetferry_lib::report_times::ReportTimes;
 use limpetferry_lib::server::Load;
@@ -71,6 +73,7 @@
             shed: 0,
         }],
         servers: Vec::new(),
+        places: Vec::new(),
     }
 }
 
@@ -482,6 +485,13 @@
             odd(1, 0, u32::MAX, u32::MAX),
             unknown,
         ],
+        places: vec![Place {
+            start: u64::MAX,
+            part: Part {
+                id: 0,
+                tokens: u64::MAX,
+            },
+        }],
     };
 
     for now in [500, 500, 400, 90_000] {
@@ -539,3 +549,53 @@
     assert!(!many);
     assert!(late);
 }
+
+#[test]
+fn a_shared_part_that_one_gateway_had_read_is_told_to_the_others_once() {
+    let mut map = LoadMap::default();
+    let none = Fleet::default();
+    let place = Place {
+        start: 7,
+        part: Part {
+            id: 1,
+            tokens: 12_000,
+        },
+    };
+    let reader = LoadReport {
+        places: vec![place],
+        ..report("reader", 0)
+    };
+    let mut take =
+        |millis, node, told: &LoadReport| map.take(at(millis), &start(node, 1), told, &none).places;
+    let idle = report("other", 0);
+    take(0, "other", &idle);
+
+    let own = take(10, "reader", &reader);
+    let first = take(100, "other", &idle);
+    let second = take(200, "other", &idle);
+
+    assert_eq!(own, []);
+    assert_eq!(first, [place]);
+    assert_eq!(second, []);
+}
+
+#[test]
+fn places_that_come_in_masses_are_told_in_bounded_answers() {
+    let mut map = LoadMap::default();
+    let none = Fleet::default();
+    let place = |id| Place {
+        start: id,
+        part: Part { id, tokens: 100 },
+    };
+    for round in 0..50 {
+        let reader = LoadReport {
+            places: (0..1_000).map(|id| place(round * 1_000 + id)).collect(),
+            ..report("reader", 0)
+        };
+        map.take(at(round), &start("reader", 1), &reader, &none);
+    }
+
+    let told = map.take(at(100), &start("other", 1), &report("other", 0), &none);
+
+    assert!((1..=256).contains(&told.places.len()));
+}
--- a/net/src/load_reporter.rs
+++ b/net/src/load_reporter.rs
@@ -120,11 +120,14 @@
 
     fn report(&self, now: Time, keeper: &Arc<str>, since: Option<Time>) {
         let since = since.unwrap_or_default().max(now.before(SAMPLE_AGE));
+        let known = self.site.known();
         let report = LoadReport {
             gateway: self.loads.state(&self.settled),
             services: self.loads.uses(),
-            servers: self.site.known().fleet.samples(since, now),
+            servers: known.fleet.samples(since, now),
+            places: known.fleet.new_places(since),
         };
+        drop(known);
         let (sender, heard) = async_channel::bounded(1);
         if self.ask(keeper, report, &sender) {
             let (loads, site) = (self.loads.clone(), self.site.clone());
@@ -133,7 +136,10 @@
                     return;
                 };
                 if let Some(Reply::Loads(summary)) = heard.reply {
-                    site.known().fleet.hear_loads(now, &summary.servers);
+                    let mut known = site.known();
+                    known.fleet.hear_loads(now, &summary.servers);
+                    known.fleet.take_places(now, &summary.places);
+                    drop(known);
                     loads.hear(&heard.node, now, summary);
                 }
             })
