load reports: what is told to all at once only warns

Change: another gateway's sample counts where the server has more than the mean; below it, it only says that somebody heard from the server. Test: a_server_that_another_gateway_found_idle_draws_no_rush.

--- a/lib/src/candidate.rs
+++ b/lib/src/candidate.rs
@@ -66,6 +66,8 @@
     /// Own requests under way when the load was reported.
     own_then: u32,
     load_at: Option<Time>,
+    /// When it was last heard from, by this process or another one.
+    heard_at: Option<Time>,
     /// Whether the load was reported to another process.
     by_others: bool,
     history: OwnHistory,
@@ -91,6 +93,7 @@
             load: Load::default(),
             own_then: 0,
             load_at: None,
+            heard_at: None,
             by_others: false,
             history: OwnHistory::default(),
             broken: 0,
@@ -109,7 +112,7 @@
     /// not idle. One that joined is: the others have no more reason to go there
     /// than this process had.
     fn others(&self, now: Time, others: Others) -> f64 {
-        let usual = others.usual(now, self.load_at);
+        let usual = others.usual(now, self.heard_at);
         let Some(at) = self.load_at else {
             return if self.joined { 0.0 } else { usual };
         };
@@ -119,8 +122,7 @@
 
     /// Returns the requests of other processes that were last reported.
     fn reported(&self) -> f64 {
-        let all = f64::from(self.load.running) + f64::from(self.load.waiting);
-        (all - f64::from(self.own_then)).max(0.0)
+        other_requests(self.load, self.own_then)
     }
 
     /// Returns what a request would meet at this server.
@@ -261,6 +263,7 @@
         self.load = load;
         self.pace.tell(now, load.pace);
         self.load_at = Some(now);
+        self.heard_at = Some(now);
         self.by_others = false;
         self.own_then = self.own;
         self.health.heard();
@@ -307,20 +310,32 @@
 
     /// Takes the load that it reported to another process at a time, if that is
     /// later than what is known, and returns how much of it is not this
-    /// process's own.
-    pub(crate) fn hear(&mut self, at: Time, load: Load) -> Option<f64> {
-        if self.load_at.is_some_and(|known| known >= at) {
+    /// process's own. What is told to all at once only warns of servers with
+    /// more than `mean` requests: all would go to one that has fewer.
+    pub(crate) fn hear(&mut self, at: Time, load: Load, mean: f64) -> Option<f64> {
+        if self.heard_at.is_some_and(|known| known >= at) {
             return None;
         }
-        self.load = load;
+        self.heard_at = Some(at);
         self.pace.tell(at, load.pace);
-        self.load_at = Some(at);
-        self.by_others = true;
-        self.own_then = self.history.count(at, self.own);
-        Some(self.reported())
+        let own = self.history.count(at, self.own);
+        let others = other_requests(load, own);
+        if others > mean {
+            self.load = load;
+            self.load_at = Some(at);
+            self.by_others = true;
+            self.own_then = own;
+        }
+        Some(others)
     }
 }
 
+/// Returns the requests of a load that are not among the `own` ones of a process.
+fn other_requests(load: Load, own: u32) -> f64 {
+    let all = f64::from(load.running) + f64::from(load.waiting);
+    (all - f64::from(own)).max(0.0)
+}
+
 fn digest(text: &str) -> u64 {
     hash::fnv(text.bytes())
 }
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -600,8 +600,9 @@
             let Some(member) = key.and_then(|&key| self.members.get_mut(key)) else {
                 continue;
             };
-            if let Some(others) = member.hear(at, sample.load).filter(|_| learns) {
-                let service = member.server.service.clone();
+            let service = member.server.service.clone();
+            let mean = self.times.get(&service).map_or(0.0, ServiceTime::load);
+            if let Some(others) = member.hear(at, sample.load, mean).filter(|_| learns) {
                 self.times.entry(service).or_default().learn_load(others);
             }
         }
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -720,3 +720,20 @@
     assert_eq!(parts, prompt[..2]);
     assert_eq!(later, []);
 }
+
+/// All gateways hear the same within a tenth of a second: if they went where
+/// somebody found room, they would all go there at once.
+#[test]
+fn a_server_that_another_gateway_found_idle_draws_no_rush() {
+    let mut fleet = fleet(20);
+    report_all(&mut fleet, 20, 4, 20);
+    let now = Time::from_millis(5_000);
+    let others_heard: Vec<_> = (0..20).map(|number| sample(number, 4, 50)).collect();
+    fleet.hear_loads(now, &others_heard);
+    fleet.hear_loads(now, &[sample(4, 0, 10)]);
+
+    let picked = [0.1, 0.5, 0.9].map(|draw| fleet.pick(now, "engine", &wish(draw)));
+
+    let idle = fleet.key("server-4");
+    assert!(picked.iter().any(|key| *key != idle), "{picked:?}");
+}
