load reports: what others heard from servers counts only with a switch of its own

The loads, the servers that nobody hears from and the shared parts were not told apart: each makes moving look cheap, and none counts what a second copy of a history takes from an engine's memory. Change: switches.samples, off in the deployment; reports keep telling how loaded services are and which gateways have room.

--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -321,7 +321,7 @@
         };
         let times = self.times.get(&member.server.service);
         let mean = times.map_or(0.0, ServiceTime::load);
-        if self.switches.reports {
+        if self.switches.samples {
             let start = member.server.start().0;
             let read = member.unmet(wish.parts).map(|&part| ReadPart {
                 at: now,
@@ -547,6 +547,13 @@
         }
     }
 
+    /// Takes where other processes had parts of prompts read.
+    pub fn hear_places(&mut self, now: Time, places: &[Place]) {
+        if self.switches.samples {
+            self.take_places(now, places);
+        }
+    }
+
     /// Notes that a request of this process is no longer there.
     pub fn end(&mut self, now: Time, key: ServerKey, outcome: Outcome) {
         let Some(member) = self.members.get_mut(key) else {
@@ -577,8 +584,11 @@
     }
 
     /// Returns the servers that reported their load to this process after
-    /// `since`, with the latest load of each.
+    /// `since`, with the latest load of each; none unless samples count.
     pub fn samples(&self, since: Time, now: Time) -> Vec<ServerSample> {
+        if !self.switches.samples {
+            return Vec::new();
+        }
         let members = self.members.values();
         let samples = members.filter_map(|member| {
             let times = self.times.get(&member.server.service);
@@ -591,6 +601,9 @@
     /// Takes the loads that servers reported to other processes, as far as they
     /// are later than what is known.
     pub fn hear_loads(&mut self, now: Time, samples: &[ServerSample]) {
+        if !self.switches.samples {
+            return;
+        }
         self.told = Some(now);
         // Those of a list that is full were chosen, and say nothing of the mean.
         let learns = self.switches.loads && samples.len() < MAX_SAMPLES;
--- a/lib/src/switches.rs
+++ b/lib/src/switches.rs
@@ -24,6 +24,9 @@
     pub programs: bool,
     /// Tells keepers about load and hears from them what other gateways told.
     pub reports: bool,
+    /// Takes into account in the choice of a server what other gateways heard
+    /// from servers; it needs `reports`.
+    pub samples: bool,
     /// Learns how fast each server is beside the others of its service, and
     /// takes into account how fast it says that it is at the moment.
     pub pace: bool,
@@ -46,6 +49,7 @@
             outliers: true,
             programs: true,
             reports: false,
+            samples: false,
             pace: false,
             queue: false,
             overload: false,
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -448,6 +448,27 @@
     assert_ne!(fleet.key("server-0"), old);
 }
 
+/// Decisions of a process that takes into account what others heard.
+const HEARING: Switches = Switches {
+    times: true,
+    places: true,
+    loads: true,
+    outliers: true,
+    programs: true,
+    reports: true,
+    samples: true,
+    pace: false,
+    queue: false,
+    overload: false,
+    handoff: false,
+};
+
+fn hearing_fleet(count: u16) -> Fleet {
+    let mut fleet = fleet(count);
+    fleet.set_switches(HEARING);
+    fleet
+}
+
 /// What another process heard from a server `age` ms ago.
 fn sample(number: u16, running: u32, age: u32) -> ServerSample {
     ServerSample {
@@ -470,7 +491,7 @@
 #[test]
 fn a_server_that_another_gateway_found_loaded_is_avoided() {
     // Servers 0 and 2 are near; nothing was heard from them here.
-    let mut fleet = fleet(4);
+    let mut fleet = hearing_fleet(4);
     let now = Time::from_millis(1_000);
     fleet.hear_loads(now, &[sample(0, 30, 20), sample(2, 3, 20)]);
 
@@ -484,7 +505,7 @@
 
 #[test]
 fn own_requests_that_another_gateway_heard_of_are_not_counted_twice() {
-    let mut fleet = fleet(1);
+    let mut fleet = hearing_fleet(1);
     let key = fleet.key("server-0").expect("it is there");
     for millis in [0, 100, 400] {
         fleet.begin(Time::from_millis(millis), key, &wish(0.0));
@@ -504,7 +525,7 @@
 
 #[test]
 fn samples_older_than_what_is_known_change_nothing() {
-    let mut fleet = fleet(1);
+    let mut fleet = hearing_fleet(1);
     report_all(&mut fleet, 1, 4, 1);
     let key = fleet.key("server-0").expect("it is there");
     let now = Time::from_millis(1_000);
@@ -522,7 +543,7 @@
 
 #[test]
 fn only_loads_that_came_to_this_process_are_reported() {
-    let mut fleet = fleet(3);
+    let mut fleet = hearing_fleet(3);
     report_all(&mut fleet, 2, 4, 1);
     let now = Time::from_millis(1_000);
     let key = fleet.key("server-1").expect("it is there");
@@ -648,7 +669,7 @@
 /// Returns a fleet in use that hears from other processes, at a time when nobody
 /// has heard from server 0 for a while.
 fn told_fleet(now: Time) -> Fleet {
-    let mut fleet = fleet(8);
+    let mut fleet = hearing_fleet(8);
     report_all(&mut fleet, 8, 12, 20);
     let samples: Vec<_> = (1..8).map(|number| sample(number, 12, 50)).collect();
     fleet.hear_loads(now, &samples);
@@ -684,7 +705,7 @@
 /// all gateways as if it were idle.
 #[test]
 fn a_server_that_is_silent_is_told_of_as_full() {
-    let mut fleet = fleet(2);
+    let mut fleet = hearing_fleet(2);
     let key = fleet.key("server-0").expect("it is there");
     fleet.begin(Time::default(), key, &wish(0.0));
     let late = Time::default() + fleet.silence("engine") + Duration::from_millis(1);
@@ -699,10 +720,7 @@
 #[test]
 fn shared_parts_are_told_of_when_a_server_first_meets_them() {
     let mut fleet = fleet(1);
-    fleet.set_switches(Switches {
-        reports: true,
-        ..Switches::default()
-    });
+    fleet.set_switches(HEARING);
     let part = |id, tokens| Part { id, tokens };
     let prompt = [part(1, 12_000), part(2, 800), part(3, 300)];
     let with = Wish {
@@ -725,7 +743,7 @@
 /// somebody found room, they would all go there at once.
 #[test]
 fn a_server_that_another_gateway_found_idle_draws_no_rush() {
-    let mut fleet = fleet(20);
+    let mut fleet = hearing_fleet(20);
     report_all(&mut fleet, 20, 4, 20);
     let now = Time::from_millis(5_000);
     let others_heard: Vec<_> = (0..20).map(|number| sample(number, 4, 50)).collect();
--- a/net/src/load_reporter.rs
+++ b/net/src/load_reporter.rs
@@ -138,7 +138,7 @@
                 if let Some(Reply::Loads(summary)) = heard.reply {
                     let mut known = site.known();
                     known.fleet.hear_loads(now, &summary.servers);
-                    known.fleet.take_places(now, &summary.places);
+                    known.fleet.hear_places(now, &summary.places);
                     drop(known);
                     loads.hear(&heard.node, now, summary);
                 }
