--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -354,10 +354,17 @@
         outlier::silence(self.usual(service))
     }
 
+    fn counts_pace(&self, peers: &Peers) -> bool {
+        self.switches.pace && (peers.are_disturbed() || !self.switches.shared_vms)
+    }
+
     /// Returns what the paces of a service's servers are measured by; `None` if
     /// they do not count.
     fn measure(&self, now: Time, service: &str, keys: &[ServerKey]) -> Option<Measure<'_>> {
-        let peers = self.peers.get(service).filter(|_| self.switches.pace)?;
+        let peers = self.peers.get(service)?;
+        if !self.counts_pace(peers) {
+            return None;
+        }
         let late = keys.iter();
         let late = late.filter(|&&key| self.members[key].pace.is_late(now, peers));
         let waits = late.count() as f64 <= keys.len() as f64 * MOST_LATE;
@@ -373,7 +380,8 @@
         work: &Work,
         span: Span,
     ) -> Option<WaitKey> {
-        if !self.switches.pace {
+        let service = &self.members.get(key)?.server.service;
+        if !self.counts_pace(self.peers.get(service)?) {
             return None;
         }
         let member = self.members.get_mut(key)?;
@@ -421,16 +429,17 @@
         span: Span,
         took: Duration,
     ) -> Duration {
-        if !self.switches.pace {
-            return took;
-        }
-        let Some(member) = self.members.get_mut(key) else {
+        let (switches, member) = (self.switches, self.members.get_mut(key));
+        let Some(member) = member.filter(|_| switches.pace) else {
             return took;
         };
         let (service, centre) = (&member.server.service, &member.server.centre);
         let Some(peers) = self.peers.get_mut(service) else {
             return took;
         };
+        if switches.shared_vms && !peers.are_disturbed() {
+            return took;
+        }
         let times = self.times.entry(service.clone()).or_default();
         let sample = Sample {
             span,
@@ -577,8 +586,11 @@
             return;
         };
         let others = member.report(now, load);
+        let service = member.server.service.clone();
+        if let Some(peers) = self.peers.get_mut(&service) {
+            peers.hear_moment(load.pace);
+        }
         if self.switches.loads {
-            let service = member.server.service.clone();
             self.times.entry(service).or_default().learn_load(others);
         }
     }
--- a/lib/src/pace.rs
+++ b/lib/src/pace.rs
@@ -60,6 +60,8 @@
 const RECOVERED: f64 = 1.4;
 /// Least time between two notes on one server.
 const NOTE_EVERY: Duration = Duration::from_secs(1);
+/// What a server says of a moment at which nothing disturbs it.
+const USUAL_PACE: u32 = 100;
 /// Factor from which a server is counted as slow in summaries.
 const COUNTED: f64 = 1.5;
 
@@ -152,9 +154,22 @@
     centres: HashMap<Arc<str>, Evidence>,
     /// When the latest request was sent whose answer came.
     answered: Time,
+    /// Whether any server said that work takes longer at a moment.
+    disturbed: bool,
 }
 
 impl Peers {
+    /// Takes how long work takes a server at a moment, in hundredths of its usual
+    /// time.
+    pub fn hear_moment(&mut self, pace: Option<u32>) {
+        self.disturbed |= pace.is_some_and(|pace| pace > USUAL_PACE);
+    }
+
+    /// Returns whether work takes servers longer at some moments, as they say.
+    pub fn are_disturbed(&self) -> bool {
+        self.disturbed
+    }
+
     fn level(&self, span: Span) -> &Level {
         match span {
             Span::FirstEvent => &self.first_event,
--- a/lib/src/switches.rs
+++ b/lib/src/switches.rs
@@ -30,6 +30,9 @@
     /// Learns how fast each server is beside the others of its service, and
     /// takes into account how fast it says that it is at the moment.
     pub pace: bool,
+    /// Counts paces only at services whose servers say that work takes them longer
+    /// at some moments, as they share their VMs with others.
+    pub shared_vms: bool,
     /// Lets requests wait in the gateway for a server with room, where servers
     /// refuse what they have no room for.
     pub queue: bool,
@@ -51,6 +54,7 @@
             reports: false,
             samples: false,
             pace: false,
+            shared_vms: false,
             queue: false,
             overload: false,
             handoff: false,
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -458,6 +458,7 @@
     reports: true,
     samples: true,
     pace: false,
+    shared_vms: false,
     queue: false,
     overload: false,
     handoff: false,
--- a/lib/tests/pace.rs
+++ b/lib/tests/pace.rs
@@ -682,3 +682,29 @@
     assert_eq!(fleet.pace_summary(Time::default(), "tool"), None);
     assert!(fleet.pace_changes().is_empty());
 }
+
+/// Servers that have their VMs to themselves differ by little: there what counts
+/// is where prompts are kept.
+#[test]
+fn paces_count_only_at_services_whose_servers_say_that_they_are_disturbed() {
+    let slowest = |told| {
+        let mut fleet = fleet(2, true);
+        fleet.set_switches(Switches {
+            pace: true,
+            shared_vms: true,
+            ..Switches::default()
+        });
+        let key = fleet.key("server-0").expect("it is there");
+        let load = Load {
+            slots: 16,
+            pace: told,
+            ..Load::default()
+        };
+        fleet.report(Time::default(), key, load);
+        fleet.pace_summary(Time::default(), "tool")
+    };
+
+    assert_eq!(slowest(None), None);
+    assert_eq!(slowest(Some(100)), None);
+    assert!(slowest(Some(250)).is_some());
+}
