testutils: a port is not held by a process that is just being started

A port is found free by listening on it for a moment; a process that another test thread starts in that moment holds the listener until it runs its own program. Change: looking for a port and starting a process exclude each other.

--- a/testutils/src/listen.rs
+++ b/testutils/src/listen.rs
@@ -2,6 +2,8 @@
 
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 
 use limpetferry_net::http::Bounds;
 use limpetferry_net::http::HEAD_WAIT;
@@ -46,6 +48,7 @@
 ///
 /// Panics if no port is free.
 pub fn free() -> SocketAddr {
+    let _ports = hold_ports();
     let ip = Ipv4Addr::new(
         127,
         rand::random_range(1..255),
@@ -55,3 +58,15 @@
     let listener = std::net::TcpListener::bind((ip, 0)).expect("a port is free");
     listener.local_addr().expect("a bound listener has one")
 }
+
+/// Keeps processes from being started while a port is looked for: until it runs its
+/// own program, a new process holds all that its parent had open, and the port
+/// with it.
+///
+/// # Panics
+///
+/// Panics if another thread panicked while it held the ports.
+pub fn hold_ports() -> MutexGuard<'static, ()> {
+    static PORTS: Mutex<()> = Mutex::new(());
+    PORTS.lock().expect("no panic while locked")
+}
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -1,6 +1,7 @@
 //! Processes of a site: tasks, or processes of their own that a test kills,
 //! freezes and stops.
 
+use crate::listen::hold_ports;
 use std::future::Future;
 use std::path::Path;
 use std::path::PathBuf;
@@ -74,6 +75,7 @@
         let log = std::fs::File::create(folder.join(format!("{node}.log")));
         let output = log.as_ref().ok().and_then(|log| log.try_clone().ok());
         let output = output.map_or_else(Stdio::null, Stdio::from);
+        let _ports = hold_ports();
         let child = Command::new(program(name))
             .arg("--settings")
             .arg(&file)
