overload: programs are refused once requests wait, not before

Change: refusal begins where the slots are taken (1.0 in place of 0.85, ends at 0.85 in place of 0.7), and the time that programs lose counts only from 0.85 on.

--- a/lib/src/overload.rs
+++ b/lib/src/overload.rs
@@ -22,10 +22,13 @@
 /// a program a third more than its time at idle servers can spare a quarter.
 const MOST_LOST: f64 = 0.25;
 /// Load from which on programs may be refused, and below which none is any
-/// more. Beneath the first there is room for a burst's first second, beneath
-/// the second for what comes back.
-const NEAR_FULL: f64 = 0.85;
-const ROOM: f64 = 0.7;
+/// more: from the first on requests wait, beneath the second there is room for
+/// what comes back.
+const FULL: f64 = 1.0;
+const ROOM: f64 = 0.85;
+/// Utilization below which time that programs lose is not lost to a lack of
+/// room: slow servers and long prompts cost time too.
+const LEAST_USED: f64 = 0.85;
 /// How much faster programs begin than end for each part of the load that is
 /// missing, and how much slower for each part that is too much.
 const GAIN: f64 = 2.0;
@@ -170,6 +173,9 @@
     /// Returns the load, one being all that programs have time for.
     fn load(&self) -> f64 {
         let utilization = self.strain.map_or(0.0, |strain| strain.utilization);
+        if utilization < LEAST_USED {
+            return utilization;
+        }
         utilization.max(self.lost() / MOST_LOST)
     }
 
@@ -177,7 +183,7 @@
     /// and more or less of them while there is room or too much to do.
     fn target(&self) -> f64 {
         let load = self.load();
-        let from = if self.overloaded { ROOM } else { NEAR_FULL };
+        let from = if self.overloaded { ROOM } else { FULL };
         if load < from || self.programs < LEAST_COUNTED {
             return 0.0;
         }
