handoff: a weak gateway hands turns to a strong one, with whole processes

Tests: two gateways of unequal capacity hear of each other by load reports; turns go over, each runs once; after the strong one's loss the weak one serves again.

--- a/net/tests/handoff.rs
+++ b/net/tests/handoff.rs
@@ -497,3 +497,87 @@
         assert_eq!(read.load(Ordering::Relaxed), 0);
     });
 }
+
+/// Returns a site of a weak gateway and a strong one that hear of each other.
+async fn unequal_site() -> PlatformSite {
+    let mut site = PlatformSite::start(2, 3, 1).await;
+    let capacities = [(2.0, 0.05), (1_000.0, 4.0)];
+    for (number, (link_mbps, cpu_share)) in capacities.into_iter().enumerate() {
+        site.change_gateway(number, |settings| {
+            settings.switches.reports = true;
+            settings.switches.handoff = true;
+            settings.capacity = Some(Capacity {
+                link_mbps,
+                cpu_share,
+            });
+        })
+        .await;
+    }
+    site
+}
+
+/// Sends turns of new programs to the weak gateway until the strong one has
+/// answered one of them, and returns how many were sent.
+async fn send_until_handed_over(site: &PlatformSite) -> usize {
+    let input = "x".repeat(50_000);
+    let mut sent = 0;
+    while site
+        .logged("gateway-0", "event=handed_over")
+        .is_none_or(|_| site.logged("gateway-1", "taken_over=gateway-0").is_none())
+    {
+        let program = format!("program-{sent}");
+        let headers = [
+            ("x-program-id", program.as_str()),
+            ("x-session-id", "line"),
+            ("x-token-budget", "1000"),
+            ("x-token-usage", "100,50"),
+            ("x-deadline-ms", "3000"),
+        ];
+        let answer = site
+            .send(0, "POST", "/stream/kept/a", &headers, &input)
+            .await;
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status, answer.whole), (200, true));
+        assert_eq!(answer.text(), whole_stream());
+        sent += 1;
+    }
+    sent
+}
+
+#[test]
+fn a_weak_gateway_hands_turns_to_a_strong_one_and_each_runs_once() {
+    smol::block_on(async {
+        let site = unequal_site().await;
+
+        let sent = within(3 * WAIT, send_until_handed_over(&site)).await;
+
+        assert_eq!(Some(runs(&site).len()), sent);
+    });
+}
+
+#[test]
+fn a_weak_gateway_serves_its_callers_once_the_strong_one_is_gone() {
+    smol::block_on(async {
+        let mut site = unequal_site().await;
+        let sent = within(3 * WAIT, send_until_handed_over(&site)).await;
+        assert!(sent.is_some());
+        site.process("gateway-1").kill();
+        site.wait_for_log("gateway-0", "event=handoff_link_ended")
+            .await;
+        let input = "x".repeat(50_000);
+        let headers = [
+            ("x-program-id", "after"),
+            ("x-session-id", "line"),
+            ("x-token-budget", "1000"),
+            ("x-token-usage", "100,50"),
+            ("x-deadline-ms", "3000"),
+        ];
+
+        let answer = site
+            .send(0, "POST", "/stream/kept/a", &headers, &input)
+            .await;
+
+        let answer = answer.expect("an answer");
+        assert_eq!((answer.status, answer.whole), (200, true));
+    });
+}
