--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use limpetferry_lib::switches::Switches;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -274,7 +275,13 @@
 /// Returns every promise that did not hold.
 pub async fn run(seed: u64, length: Duration) -> Result<Summary, Vec<String>> {
     let mut random = SmallRng::seed_from_u64(seed);
-    let site = PlatformSite::start_wired(GATEWAYS, KEEPERS, FAULTS).await;
+    let switches = Switches {
+        reports: true,
+        queue: true,
+        overload: true,
+        ..Switches::default()
+    };
+    let site = PlatformSite::start_wired_switched(GATEWAYS, KEEPERS, FAULTS, switches).await;
     site.store.put("op/config", &keyed_routing(FIRST_VERSION));
     for number in 0..GATEWAYS {
         site.wait_for_routing(number, FIRST_VERSION).await;
