--- a/net/tests/handoff.rs
+++ b/net/tests/handoff.rs
@@ -35,6 +35,7 @@
 use limpetferry_testutils::platform_server::Behaviour;
 use limpetferry_testutils::platform_server::Run;
 use limpetferry_testutils::platform_server::whole_stream;
+use limpetferry_testutils::platform_site::Answer;
 use limpetferry_testutils::platform_site::HOST;
 use limpetferry_testutils::platform_site::PlatformSite;
 use smol::net::TcpListener;
@@ -516,27 +517,31 @@
     site
 }
 
+/// Sends a long first turn of a program to the weak gateway.
+async fn send_turn(site: &PlatformSite, program: &str) -> Answer {
+    let input = "x".repeat(50_000);
+    let headers = [
+        ("x-program-id", program),
+        ("x-session-id", "line"),
+        ("x-token-budget", "1000"),
+        ("x-token-usage", "100,50"),
+        ("x-deadline-ms", "3000"),
+    ];
+    let answer = site
+        .send(0, "POST", "/stream/kept/a", &headers, &input)
+        .await;
+    answer.expect("an answer")
+}
+
 /// Sends turns of new programs to the weak gateway until the strong one has
 /// answered one of them, and returns how many were sent.
 async fn send_until_handed_over(site: &PlatformSite) -> usize {
-    let input = "x".repeat(50_000);
     let mut sent = 0;
     while site
         .logged("gateway-0", "event=handed_over")
         .is_none_or(|_| site.logged("gateway-1", "taken_over=gateway-0").is_none())
     {
-        let program = format!("program-{sent}");
-        let headers = [
-            ("x-program-id", program.as_str()),
-            ("x-session-id", "line"),
-            ("x-token-budget", "1000"),
-            ("x-token-usage", "100,50"),
-            ("x-deadline-ms", "3000"),
-        ];
-        let answer = site
-            .send(0, "POST", "/stream/kept/a", &headers, &input)
-            .await;
-        let answer = answer.expect("an answer");
+        let answer = send_turn(site, &format!("program-{sent}")).await;
         assert_eq!((answer.status, answer.whole), (200, true));
         assert_eq!(answer.text(), whole_stream());
         sent += 1;
@@ -564,20 +569,9 @@
         site.process("gateway-1").kill();
         site.wait_for_log("gateway-0", "event=handoff_link_ended")
             .await;
-        let input = "x".repeat(50_000);
-        let headers = [
-            ("x-program-id", "after"),
-            ("x-session-id", "line"),
-            ("x-token-budget", "1000"),
-            ("x-token-usage", "100,50"),
-            ("x-deadline-ms", "3000"),
-        ];
 
-        let answer = site
-            .send(0, "POST", "/stream/kept/a", &headers, &input)
-            .await;
+        let answer = send_turn(&site, "after").await;
 
-        let answer = answer.expect("an answer");
         assert_eq!((answer.status, answer.whole), (200, true));
     });
 }
