fleet: one place says how long a service takes to answer

Cause: samples looked the mean answer time up again beside Fleet::usual, which does the same. Change: it calls usual. No behaviour changes; clippy and the tests of fleet and load_map pass.

--- a/lib/src/fleet/reports.rs
+++ b/lib/src/fleet/reports.rs
@@ -37,8 +37,7 @@
         }
         let members = self.members.values();
         let samples = members.filter_map(|member| {
-            let times = self.times.get(&member.server.service);
-            let usual = times.map_or(Duration::ZERO, ServiceTime::answer);
+            let usual = self.usual(&member.server.service);
             member.sample(since, now, usual)
         });
         samples.collect()
