site: logs say who told a change, and which keeper lags

Change: routing, server and server_gone lines name their source, server_gone its revision too; store_read gives the revision of a reading's first page beside what was known when it ended; keeper_behind names a keeper that says that it hears from the store and knows less than the asker. No decision changes.

--- a/net/src/follow.rs
+++ b/net/src/follow.rs
@@ -9,6 +9,7 @@
 use limpetferry_lib::ask::Question;
 use limpetferry_lib::ask::Reply;
 use limpetferry_lib::ask::Ticket;
+use limpetferry_lib::effect::Note;
 use limpetferry_lib::membership::Membership;
 
 use crate::clock::Clock;
@@ -138,7 +139,8 @@
                 revision,
                 away,
             }) => {
-                self.site.take_changes(changes, revision);
+                self.note_behind(node, revision, away);
+                self.site.take_changes(changes, revision, node);
                 away
             }
             _ => true,
@@ -148,6 +150,16 @@
         }
         !away
     }
+
+    /// Notes that a keeper that says that it hears from the store knows less
+    /// than this process.
+    fn note_behind(&self, node: &str, told: u64, away: bool) {
+        let known = self.site.known().revision;
+        if !away && told < known {
+            let note = Note::new("keeper_behind").with("keeper", node);
+            self.site.note(note.with("told", told).with("known", known));
+        }
+    }
 }
 
 fn first_turn() -> usize {
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -69,6 +69,15 @@
     fed: Option<Time>,
 }
 
+/// Where a change of what is known comes from.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Origin<'a> {
+    /// Name of the process that told it, or how the store did.
+    pub by: &'a str,
+    /// Whether what is missing may have lapsed while the store was away.
+    pub lapsed: bool,
+}
+
 /// What a gateway knows of the site.
 pub struct Site {
     pub(crate) node: String,
@@ -127,10 +136,10 @@
     }
 
     /// Takes all items that the store has at a revision.
-    pub(crate) fn take_all(&self, items: Vec<Item>, revision: u64, lapsed: bool) {
+    pub(crate) fn take_all(&self, items: Vec<Item>, revision: u64, origin: Origin<'_>) {
         let present: HashSet<String> = items.iter().map(|item| item.key.clone()).collect();
         for item in items {
-            self.apply(item, lapsed);
+            self.apply(item, origin);
         }
         let missing: Vec<String> = {
             let known = self.known();
@@ -143,7 +152,7 @@
                 value: None,
                 revision,
             };
-            self.apply(gone, lapsed);
+            self.apply(gone, origin);
         }
         self.known().revision = revision;
         self.tell_waiting();
@@ -200,14 +209,18 @@
     }
 
     /// Takes changes that a keeper heard of from the store.
-    pub fn take_changes(&self, changes: Vec<Change>, revision: u64) {
+    pub fn take_changes(&self, changes: Vec<Change>, revision: u64, from: &str) {
         for change in changes {
+            let origin = Origin {
+                by: from,
+                lapsed: change.lapsed,
+            };
             let item = Item {
                 key: change.key,
                 value: change.value,
                 revision: change.revision,
             };
-            self.apply(item, change.lapsed);
+            self.apply(item, origin);
         }
         let mut known = self.known();
         known.revision = known.revision.max(revision);
@@ -240,7 +253,11 @@
             revision: stored.revision,
         });
         // Servers may be missing there only because their entries lapsed.
-        self.take_all(items.collect(), revision, true);
+        let origin = Origin {
+            by: from,
+            lapsed: true,
+        };
+        self.take_all(items.collect(), revision, origin);
         let mut known = self.known();
         known.log_from = known.log_from.max(revision);
     }
@@ -281,11 +298,11 @@
         );
     }
 
-    pub(crate) fn apply(&self, item: Item, lapsed: bool) {
+    pub(crate) fn apply(&self, item: Item, origin: Origin<'_>) {
         let Some(item) = self.sealed(item) else {
             return;
         };
-        if !self.store_item(&item, lapsed) {
+        if !self.store_item(&item, origin.lapsed) {
             return;
         }
         let Item {
@@ -295,13 +312,13 @@
         } = item;
         if let Some(id) = key.strip_prefix(document::SERVER_PREFIX) {
             match &value {
-                Some(value) => self.server(id, value, revision),
-                None => self.server_gone(id, lapsed),
+                Some(value) => self.server(id, value, revision, origin),
+                None => self.server_gone(id, revision, origin),
             }
         } else if let Some(node) = key.strip_prefix(document::RETIRE_PREFIX) {
             self.retire(node, value.is_some());
         } else if let (document::ROUTING_KEY, Some(value)) = (&*key, &value) {
-            self.routing(value, revision);
+            self.routing(value, revision, origin);
         } else if let (KEEPERS_KEY, Some(value)) = (&*key, &value) {
             self.keepers(value, revision);
         }
@@ -356,7 +373,7 @@
         );
     }
 
-    fn server(&self, id: &str, value: &[u8], revision: u64) {
+    fn server(&self, id: &str, value: &[u8], revision: u64, origin: Origin<'_>) {
         let server = match document::decode_server(id, value) {
             Ok(server) => server,
             Err(error) => return self.server_unread(id, &error, revision),
@@ -370,7 +387,8 @@
         let arrival = self.known().fleet.put(server);
         self.note(
             note.with("arrival", format!("{arrival:?}"))
-                .with("revision", revision),
+                .with("revision", revision)
+                .with("by", origin.by),
         );
     }
 
@@ -386,21 +404,23 @@
         self.known().fleet.drop_server(id);
     }
 
-    fn server_gone(&self, id: &str, lapsed: bool) {
+    fn server_gone(&self, id: &str, revision: u64, origin: Origin<'_>) {
         self.note(
             Note::new("server_gone")
                 .with("server", id)
-                .with("lapsed", lapsed),
+                .with("lapsed", origin.lapsed)
+                .with("revision", revision)
+                .with("by", origin.by),
         );
         let mut known = self.known();
-        if lapsed {
+        if origin.lapsed {
             known.fleet.lapse(id, self.clock.now() + LAPSE_WAIT);
         } else {
             known.fleet.drop_server(id);
         }
     }
 
-    fn routing(&self, value: &[u8], revision: u64) {
+    fn routing(&self, value: &[u8], revision: u64, origin: Origin<'_>) {
         match document::decode_routing(value) {
             Ok(routing) => {
                 let mut known = self.known();
@@ -416,7 +436,8 @@
                         routing.workspaces.as_ref().map_or(0, Workspaces::len),
                     )
                     .with("revision", revision)
-                    .with("in_force", newer);
+                    .with("in_force", newer)
+                    .with("by", origin.by);
                 if newer {
                     known.routing = Some(Arc::new(routing));
                 }
--- a/net/src/site_watch.rs
+++ b/net/src/site_watch.rs
@@ -11,6 +11,7 @@
 
 use crate::platform_store::PlatformError;
 use crate::platform_store::PlatformStore;
+use crate::site::Origin;
 use crate::site::Site;
 
 /// First wait after a failed call to the store; doubled for each one in a row.
@@ -99,7 +100,14 @@
     async fn read(&self, store: &mut PlatformStore, away: &mut bool) -> Result<(), PlatformError> {
         let page = store.list("").await?;
         let lapsed = self.back(away, page.revision);
-        self.take_all(page.items, page.revision, lapsed);
+        self.note(
+            Note::new("store_read")
+                .with("revision", page.revision)
+                .with("items", page.items.len())
+                .with("known", self.known().revision),
+        );
+        let by = "reading";
+        self.take_all(page.items, page.revision, Origin { by, lapsed });
         let mut known = self.known();
         if !std::mem::replace(&mut known.read, true) {
             known.log_from = known.revision;
@@ -114,8 +122,9 @@
         if !is_gapless(revision, &changes) {
             return Err(PlatformError::Reply(ReplyError::Compacted));
         }
+        let by = "watch";
         for item in changes.items {
-            self.apply(item, lapsed);
+            self.apply(item, Origin { by, lapsed });
         }
         let mut known = self.known();
         known.revision = known.revision.max(changes.revision);
