store watch: a call that an outage swallowed is found before the store counts as calm

Cause: a process believes that it hears from the store as long as its call waits, and the store may hold a call for eight seconds. A call that the store took during a silent outage of one second is never answered and was given up after ten, while the platform counts on its store three or four seconds after the outage. All watching keepers call at once after each change, so one outage takes all of them, and their word kept the gateways from looking themselves. Class of fault: silence taken for no news, found by a time that nothing bounded.

Change: the store may hold a call for 1.5 s (common.watch_ms, checked against the protocol's most), and its answer is waited for 0.75 s longer, so that any call of an outage is given up 2.25 s after it at the latest.

The test that keeps gateways from staying with silent keepers now runs with the protocol's longest hold, so that no silent watch is found by time within it: its assertions stay.

--- a/lib/tests/store_watch.rs
+++ b/lib/tests/store_watch.rs
@@ -19,7 +19,7 @@
 fn a_watch_that_an_outage_swallowed_ends_before_the_store_counts_as_calm() {
     for outage in [50, 1_000, 4_500, 9_000] {
         for sent in (0..=outage).step_by(50) {
-            let watch = StoreWatch::new(Time::from_millis(sent));
+            let watch = StoreWatch::new(Time::from_millis(sent), HOLD);
 
             let limit = watch.limit();
 
@@ -33,7 +33,7 @@
 fn a_watch_is_waited_for_as_long_as_a_slow_store_takes() {
     let sent = Time::from_millis(1_000);
 
-    let limit = StoreWatch::new(sent).limit();
+    let limit = StoreWatch::new(sent, HOLD).limit();
 
     assert!(limit >= sent + HOLD + SLOW_ANSWER, "{limit:?}");
 }
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -398,7 +398,8 @@
     let (close, closed) = async_channel::bounded::<()>(1);
     let callers = bind("callers", settings.callers)?;
     let ready = bind("ready", settings.ready)?;
-    smol::spawn(site.clone().follow(PlatformStore::new(common.store))).detach();
+    let store = PlatformStore::new(common.store);
+    smol::spawn(site.clone().follow(store, common.watch_hold())).detach();
     smol::spawn(site.clone().expire()).detach();
     smol::spawn(gateway.clone().expire()).detach();
     smol::spawn(gateway.clone().measure_lateness()).detach();
--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -1,10 +1,12 @@
 //! Settings of a gateway and of a keeper, in JSON, checked whole.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use limpetferry_lib::allowance::AllowanceBounds;
 use limpetferry_lib::document::Fault;
 use limpetferry_lib::id::Digest;
+use limpetferry_lib::store_watch;
 use limpetferry_lib::switches::Switches;
 use limpetferry_lib::workspace::KeyDigester;
 use serde::Deserialize;
@@ -36,6 +38,10 @@
     pub key: String,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// How long the platform's store may hold a call that watches it, in
+    /// milliseconds.
+    #[serde(default = "default_watch")]
+    pub watch_ms: u64,
     /// Addresses of some keepers, which are asked while the platform's store
     /// is away.
     #[serde(default)]
@@ -52,7 +58,16 @@
     pub log: LogSettings,
 }
 
+fn default_watch() -> u64 {
+    store_watch::HOLD.as_millis() as u64
+}
+
 impl NodeSettings {
+    /// Returns how long the platform's store may hold a call that watches it.
+    pub fn watch_hold(&self) -> Duration {
+        Duration::from_millis(self.watch_ms)
+    }
+
     /// Returns the address by which others reach it.
     pub fn reachable(&self) -> SocketAddr {
         self.advertised.unwrap_or(self.peers)
@@ -85,6 +100,15 @@
                 "give window_s above zero, overrun and slack of zero or more, handed_out from 0 to 1",
             ));
         }
+        if self.watch_ms == 0 || self.watch_hold() > store_watch::MOST_HOLD {
+            faults.push(Fault::new(
+                "common.watch_ms",
+                format!(
+                    "give a number from 1 to {}",
+                    store_watch::MOST_HOLD.as_millis()
+                ),
+            ));
+        }
         if self.stop_ms == 0 {
             faults.push(Fault::new("common.stop_ms", "give a number above zero"));
         }
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -561,7 +561,8 @@
     smol::spawn(http::serve(metrics, Bounds::SMALL, shown, closed)).detach();
     smol::spawn(keeper.clone().expire()).detach();
     smol::spawn(keeper.clone().keep_site()).detach();
-    smol::spawn(site.follow(PlatformStore::new(common.store))).detach();
+    let store = PlatformStore::new(common.store);
+    smol::spawn(site.follow(store, common.watch_hold())).detach();
     let replicas = Replicas::new(hello.clone(), clock);
     let follower = Follower {
         site: keeper.site.clone(),
--- a/net/src/platform_store.rs
+++ b/net/src/platform_store.rs
@@ -8,7 +8,6 @@
 use http::Request;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use limpetferry_lib::store_watch;
 use limpetferry_platform::store;
 use limpetferry_platform::store::Changes;
 use limpetferry_platform::store::Page;
@@ -75,7 +74,8 @@
         }
     }
 
-    /// Waits for changes below `prefix` after `revision`, `wait` at most.
+    /// Waits for changes below `prefix` after `revision`, for which the store may
+    /// hold the call for `hold`; for `wait` at most.
     ///
     /// # Errors
     ///
@@ -84,9 +84,10 @@
         &mut self,
         prefix: &str,
         revision: u64,
+        hold: Duration,
         wait: Duration,
     ) -> Result<Changes, PlatformError> {
-        let request = store::watch(&self.address, prefix, revision, store_watch::HOLD);
+        let request = store::watch(&self.address, prefix, revision, hold);
         let (status, body) = self.call(request, wait).await?;
         Ok(store::decode_watch(status, &body)?)
     }
--- a/net/src/site_watch.rs
+++ b/net/src/site_watch.rs
@@ -33,8 +33,9 @@
 const FED_LOOK: Duration = Duration::from_millis(100);
 
 impl Site {
-    /// Follows the platform's store for as long as the process runs.
-    pub async fn follow(self: Arc<Self>, mut store: PlatformStore) {
+    /// Follows the platform's store for as long as the process runs. The store
+    /// may hold each call for `hold`.
+    pub async fn follow(self: Arc<Self>, mut store: PlatformStore, hold: Duration) {
         let mut wait = FIRST_WAIT;
         let mut away = false;
         let mut fresh = false;
@@ -48,7 +49,7 @@
                 continue;
             }
             let result = if fresh {
-                self.watch(&mut store, &mut away).await
+                self.watch(&mut store, hold, &mut away).await
             } else {
                 self.read(&mut store, &mut away).await
             };
@@ -116,11 +117,16 @@
         Ok(())
     }
 
-    async fn watch(&self, store: &mut PlatformStore, away: &mut bool) -> Result<(), PlatformError> {
+    async fn watch(
+        &self,
+        store: &mut PlatformStore,
+        hold: Duration,
+        away: &mut bool,
+    ) -> Result<(), PlatformError> {
         let revision = self.known().revision;
         let now = self.clock.now();
-        let wait = StoreWatch::new(now).limit().since(now);
-        let changes = store.watch("", revision, wait).await?;
+        let wait = StoreWatch::new(now, hold).limit().since(now);
+        let changes = store.watch("", revision, hold, wait).await?;
         let lapsed = self.back(away, changes.revision);
         if !is_gapless(revision, &changes) {
             return Err(PlatformError::Reply(ReplyError::Compacted));
--- a/net/tests/platform_failures.rs
+++ b/net/tests/platform_failures.rs
@@ -271,9 +271,10 @@
 
 #[test]
 fn a_routing_is_heard_of_while_most_watches_are_silent_unnoticed() {
-    // A silent watch is only found when it should have ended, after ten seconds.
+    // A silent watch is only found when it should have ended, after half a
+    // minute.
     smol::block_on(async {
-        let site = PlatformSite::start_wired(3, 5, 2).await;
+        let site = PlatformSite::start_wired_patient(3, 5, 2).await;
         let silent = 1..5;
         for keeper in silent.clone() {
             site.wires.watches[keeper].silence(Way::Both);
--- a/testutils/src/check.rs
+++ b/testutils/src/check.rs
@@ -66,7 +66,7 @@
     }
 }
 
-/// Asserts that `program` refuses settings of the users' platform with three
+/// Asserts that `program` refuses settings of the users' platform with four
 /// faults in what all processes are told, and lists each with its remedy.
 ///
 /// # Panics
@@ -76,11 +76,13 @@
     settings["common"]["key"] = json!("short");
     settings["common"]["node"] = json!("two words");
     settings["common"]["stop_ms"] = json!(0);
+    settings["common"]["watch_ms"] = json!(30_001);
 
     let faults = [
         "common.key: give at least 16",
         "common.node: give 1 to 64",
         "common.stop_ms: give a number above zero",
+        "common.watch_ms: give a number from 1 to 30000",
     ];
     assert_faults(program, &settings, &faults);
 }
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -12,6 +12,7 @@
 use http_body_util::Full;
 use hyper::body::Bytes;
 use limpetferry_lib::allowance::AllowanceBounds;
+use limpetferry_lib::store_watch;
 use limpetferry_lib::switches::Switches;
 use limpetferry_net::gateway_settings::GatewaySettings;
 use limpetferry_net::gateway_settings::KeeperSettings;
@@ -78,11 +79,40 @@
     wired: bool,
     /// Decisions that gateways make.
     switches: Switches,
+    /// How long the store may hold a call that watches it.
+    hold: Duration,
     /// Keeps the store's listener open.
     _store_open: async_channel::Sender<()>,
     attempts: std::sync::atomic::AtomicU64,
 }
 
+/// How a site is built.
+#[derive(Clone, Copy, Debug)]
+struct SiteRules {
+    wired: bool,
+    switches: Switches,
+    hold: Duration,
+}
+
+impl Default for SiteRules {
+    fn default() -> Self {
+        Self {
+            wired: false,
+            switches: Switches::default(),
+            hold: store_watch::HOLD,
+        }
+    }
+}
+
+impl SiteRules {
+    fn wired() -> Self {
+        Self {
+            wired: true,
+            ..Self::default()
+        }
+    }
+}
+
 /// An answer, read whole.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -156,7 +186,7 @@
     ///
     /// Panics if it does not serve in time.
     pub async fn start(gateways: usize, keepers: usize, faults: usize) -> Self {
-        Self::begin(gateways, keepers, faults, false, Switches::default()).await
+        Self::begin(gateways, keepers, faults, SiteRules::default()).await
     }
 
     /// Starts a site whose gateways make these decisions, and waits until all of
@@ -171,7 +201,11 @@
         faults: usize,
         switches: Switches,
     ) -> Self {
-        Self::begin(gateways, keepers, faults, false, switches).await
+        let rules = SiteRules {
+            switches,
+            ..SiteRules::default()
+        };
+        Self::begin(gateways, keepers, faults, rules).await
     }
 
     /// Starts a site whose processes reach each other through wires, and waits
@@ -181,7 +215,7 @@
     ///
     /// Panics if it does not serve in time.
     pub async fn start_wired(gateways: usize, keepers: usize, faults: usize) -> Self {
-        Self::begin(gateways, keepers, faults, true, Switches::default()).await
+        Self::begin(gateways, keepers, faults, SiteRules::wired()).await
     }
 
     /// Starts a site as [`Self::start_wired`] does, whose gateways have these
@@ -196,16 +230,28 @@
         faults: usize,
         switches: Switches,
     ) -> Self {
-        Self::begin(gateways, keepers, faults, true, switches).await
+        let rules = SiteRules {
+            switches,
+            ..SiteRules::wired()
+        };
+        Self::begin(gateways, keepers, faults, rules).await
     }
 
-    async fn begin(
-        gateways: usize,
-        keepers: usize,
-        faults: usize,
-        wired: bool,
-        switches: Switches,
-    ) -> Self {
+    /// Starts a site as [`Self::start_wired`] does, whose watches of the store
+    /// that fall silent are not found by time within a test.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it does not serve in time.
+    pub async fn start_wired_patient(gateways: usize, keepers: usize, faults: usize) -> Self {
+        let rules = SiteRules {
+            hold: store_watch::MOST_HOLD,
+            ..SiteRules::wired()
+        };
+        Self::begin(gateways, keepers, faults, rules).await
+    }
+
+    async fn begin(gateways: usize, keepers: usize, faults: usize, rules: SiteRules) -> Self {
         let store = StandInPlatform::default();
         let (at, stop) = listen(any_port(), store.handler()).await;
         let mut site = Self {
@@ -217,14 +263,15 @@
             keepers: Vec::new(),
             folder: Folder::default(),
             wires: Wires::default(),
-            wired,
-            switches,
+            wired: rules.wired,
+            switches: rules.switches,
+            hold: rules.hold,
             _store_open: stop,
             attempts: 0.into(),
         };
         site.store.put("op/config", &routing(1));
         let mut at = at;
-        if wired {
+        if rules.wired {
             let wire = Wire::to(at).await;
             at = wire.address();
             site.wires.store.push(wire);
@@ -248,6 +295,7 @@
             metrics: free(),
             key: KEY.to_owned(),
             store,
+            watch_ms: self.hold.as_millis() as u64,
             seeds: self
                 .keepers
                 .iter()
