site: a reading of the store takes back nothing that is newer

Cause: two sources write what is known, and a removal left no trace. A keeper tells it while the reading goes on; the page from before then put the server back, since nothing said that its entry was older. The reading also set the revision back to its first page's, and the keeper's next answer lifted it over the removal, which was never asked for again. Class of fault: an older state wins as the newer one left nothing to compare with.

Change: revisions of removals are kept as long as the log of changes holds them, and an item counts by them; a reading never sets the revision back.

Test: a_server_that_left_while_the_store_was_read_stays_gone, with the second page held; it failed before (15 servers of 14).

--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -62,6 +62,9 @@
     /// Whether the store was read in this life of the process.
     pub read: bool,
     items: BTreeMap<String, Stored>,
+    /// Revisions of removals that are in the log, by key: a slower source may
+    /// still tell the item.
+    removed: BTreeMap<String, u64>,
     /// Changes for those that follow this process, oldest first.
     log: VecDeque<Change>,
     /// Revision after which the log is complete.
@@ -74,6 +77,31 @@
     pub(crate) others: u64,
 }
 
+impl Known {
+    /// Returns the revision at which an item was last seen to change, zero if
+    /// that is not known.
+    fn last_change(&self, key: &str) -> u64 {
+        let present = self.items.get(key).map(|item| item.revision);
+        present
+            .or_else(|| self.removed.get(key).copied())
+            .unwrap_or(0)
+    }
+
+    /// Keeps a change for those that follow this process.
+    fn push_change(&mut self, change: Change) {
+        self.log.push_back(change);
+        if self.log.len() <= MAX_LOG {
+            return;
+        }
+        if let Some(oldest) = self.log.pop_front() {
+            self.log_from = self.log_from.max(oldest.revision);
+            if self.removed.get(&oldest.key) == Some(&oldest.revision) {
+                self.removed.remove(&oldest.key);
+            }
+        }
+    }
+}
+
 /// Where a change of what is known comes from.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Origin<'a> {
@@ -159,7 +187,9 @@
             };
             self.apply(gone, origin);
         }
-        self.known().revision = revision;
+        let mut known = self.known();
+        known.revision = known.revision.max(revision);
+        drop(known);
         self.tell_waiting();
     }
 
@@ -342,8 +372,7 @@
     /// Keeps an item for other processes; returns whether it is news.
     fn store_item(&self, item: &Item, lapsed: bool) -> bool {
         let mut known = self.known();
-        let old = known.items.get(&item.key).map_or(0, |old| old.revision);
-        if item.revision <= old {
+        if item.revision <= known.last_change(&item.key) {
             return false;
         }
         match &item.value {
@@ -354,22 +383,19 @@
                     revision: item.revision,
                 };
                 known.items.insert(item.key.clone(), stored);
+                known.removed.remove(&item.key);
             }
             None => {
                 known.items.remove(&item.key);
+                known.removed.insert(item.key.clone(), item.revision);
             }
         }
-        known.log.push_back(Change {
+        known.push_change(Change {
             key: item.key.clone(),
             value: item.value.clone(),
             revision: item.revision,
             lapsed,
         });
-        if known.log.len() > MAX_LOG
-            && let Some(oldest) = known.log.pop_front()
-        {
-            known.log_from = known.log_from.max(oldest.revision);
-        }
         true
     }
 
--- /dev/null
+++ b/net/tests/site.rs
@@ -0,0 +1,83 @@
+//! What one process knows of the site, told by the platform's store and by
+//! keepers at the same time.
+
+use std::sync::Arc;
+
+use limpetferry_lib::ask::Change;
+use limpetferry_lib::store_watch::MOST_HOLD;
+use limpetferry_lib::workspace::KeyDigester;
+use limpetferry_net::clock::Clock;
+use limpetferry_net::platform_store::PlatformStore;
+use limpetferry_net::site::Site;
+use limpetferry_testutils::listen::any_port;
+use limpetferry_testutils::listen::listen;
+use limpetferry_testutils::platform_site::routing;
+use limpetferry_testutils::platform_store::PlatformFaults;
+use limpetferry_testutils::platform_store::StandInPlatform;
+use limpetferry_testutils::site::eventually;
+use serde_json::json;
+
+/// Servers in the store, more than it gives on one page.
+const SERVERS: usize = 15;
+/// A server whose entry is on the first page.
+const EARLY: &str = "servers/server-00";
+
+fn store() -> StandInPlatform {
+    let store = StandInPlatform::default();
+    store.put("op/config", &routing(1));
+    for number in 0..SERVERS {
+        let entry = json!({"Service": "engine", "Address": format!("127.0.0.1:{}", 9_000 + number),
+                           "Zone": "here", "Version": "v1", "Slots": 8, "State": "ready",
+                           "ColdLeftMs": 0, "Seq": 1});
+        store.put(&format!("servers/server-{number:02}"), &entry);
+    }
+    store
+}
+
+fn site() -> Arc<Site> {
+    let (changed, _changes) = async_channel::bounded(1);
+    let digester = KeyDigester::new(b"key");
+    Site::new("gateway", Clock::default(), digester, changed)
+}
+
+fn removal(key: &str, revision: u64) -> Change {
+    Change {
+        key: key.to_owned(),
+        value: None,
+        revision,
+        lapsed: false,
+    }
+}
+
+// Guards against a reading of the store that takes back what a keeper told
+// while it went on: a server that left is used again, and changes in between
+// are never asked for.
+#[test]
+fn a_server_that_left_while_the_store_was_read_stays_gone() {
+    smol::block_on(async {
+        let store = store();
+        let (at, _open) = listen(any_port(), store.handler()).await;
+        let site = site();
+        let following = site.clone().follow(PlatformStore::new(at), MOST_HOLD);
+        smol::spawn(following).detach();
+        eventually("the store is watched", async || store.calls() == 3).await;
+        store.set_faults(PlatformFaults {
+            hold_pages: true,
+            ..PlatformFaults::default()
+        });
+        store.compact();
+        eventually("a second page is asked for", async || store.calls() == 5).await;
+
+        let left = store.remove(EARLY);
+        site.take_changes(vec![removal(EARLY, left)], left, "keeper");
+        let read = site.wait_news();
+        store.set_faults(PlatformFaults::default());
+        eventually("the store was read", async || read.is_closed()).await;
+        let revision = site.known().revision;
+        // The keeper's next answer, without news.
+        site.take_changes(Vec::new(), left, "keeper");
+
+        assert_eq!(site.known().fleet.ready("engine"), SERVERS - 1);
+        assert_eq!(revision, left);
+    });
+}
--- a/testutils/src/platform_store.rs
+++ b/testutils/src/platform_store.rs
@@ -34,6 +34,8 @@
     pub lose_replies: u32,
     /// Whether watches hear nothing.
     pub mute: bool,
+    /// Whether pages after the first one wait.
+    pub hold_pages: bool,
 }
 
 #[derive(Default)]
@@ -122,9 +124,11 @@
         self.lock().put(key, &value);
     }
 
-    /// Removes an item.
-    pub fn remove(&self, key: &str) {
-        self.lock().remove(key);
+    /// Removes an item, and returns the revision of the store then.
+    pub fn remove(&self, key: &str) -> u64 {
+        let mut state = self.lock();
+        state.remove(key);
+        state.revision
     }
 
     /// Reads an item.
@@ -199,7 +203,11 @@
         };
         match path.as_str() {
             "/api/kv-range" => {
-                let page = self.lock().list(&field("PathPrefix"), &field("after"));
+                let after = field("after");
+                while !after.is_empty() && self.lock().faults.hold_pages {
+                    smol::Timer::after(LOOK).await;
+                }
+                let page = self.lock().list(&field("PathPrefix"), &after);
                 json_answer(200, &page)
             }
             "/api/kv-watch" => {
