handoff: a gateway takes no request from one that goes by a later routing

Cause: the target finds the route anew by its own routing, and neither end compared versions. Class of fault: a decision made twice, from two states of knowledge.

Change: a request that is handed over carries the version by which its gateway goes; one that goes by an older version refuses the stream before it runs. Builds that do not say their version are served as before.

Test: a_gateway_takes_no_request_from_one_that_goes_by_a_later_version; without the check it failed (200 in place of a refusal).

--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -257,6 +257,12 @@
         }
     }
 
+    /// Returns the version of the routing in force, zero if none is known.
+    fn routing_version(&self) -> u64 {
+        let known = self.site.known();
+        known.routing.as_ref().map_or(0, |routing| routing.version)
+    }
+
     /// Measures how late timers fire, for as long as the process runs.
     async fn measure_lateness(self: Arc<Self>) {
         loop {
@@ -280,10 +286,9 @@
 
     /// Looks again whether it has what it needs to serve.
     fn look(&self) {
+        self.meters.routing.set(self.routing_version() as i64);
         let known = {
             let known = self.site.known();
-            let version = known.routing.as_ref().map_or(0, |routing| routing.version);
-            self.meters.routing.set(version as i64);
             self.meters.servers.set(known.fleet.ready_count() as i64);
             known.routing.is_some() && known.keepers.open
         };
@@ -494,9 +499,12 @@
     let key = settings.common.key_digest();
     let gateway = gateway.clone();
     let handler: HopHandler = Arc::new(move |request, hop| {
+        if gateway.routing_version() < hop.version {
+            return None;
+        }
         let gateway = gateway.clone();
         gateway.meters.taken_over.inc();
-        Box::pin(relay::answer(gateway, request, Some(hop)))
+        Some(Box::pin(relay::answer(gateway, request, Some(hop))))
     });
     Ok(smol::spawn(handoff_server::serve(
         listener, key, handler, stop,
--- a/net/src/handoff.rs
+++ b/net/src/handoff.rs
@@ -55,6 +55,8 @@
     pub head: &'a Parts,
     /// Its route.
     pub route: &'a Route,
+    /// Version of the routing by which it was found.
+    pub version: u64,
     /// Id of the attempt.
     pub attempt: &'a str,
     /// When it came.
@@ -213,7 +215,10 @@
         let spent = sent.since(arrival.start) + LAST_WAY;
         let left = arrival.limit.since(sent);
         self.decision().begin(&target.node);
-        let result = self.links.send(link, arrival.head, body, spent, left).await;
+        let sending = self
+            .links
+            .send(link, arrival.head, body, spent, arrival.version, left);
+        let result = sending.await;
         let end = match &result {
             Ok(_) | Err(HandoffError::Caller) => None,
             Err(HandoffError::NotRun { .. }) => Some(HopEnd::Full),
@@ -272,7 +277,7 @@
     match error {
         HandoffError::NotRun { .. } => Refusal::later(
             RETRY_UNKNOWN,
-            "the gateway that was to serve it has stopped; come back",
+            "the gateway that was to serve it did not take it; come back",
         ),
         HandoffError::Unknown(_) => Refusal::new(
             StatusCode::BAD_GATEWAY,
--- a/net/src/handoff_links.rs
+++ b/net/src/handoff_links.rs
@@ -223,7 +223,8 @@
         });
     }
 
-    /// Hands a request over, and returns the answer once its head is here.
+    /// Hands a request over to a gateway that goes by a `version` of the routing
+    /// or a later one, and returns the answer once its head is here.
     ///
     /// # Errors
     ///
@@ -234,6 +235,7 @@
         head: &Parts,
         body: &mut B,
         spent: Duration,
+        version: u64,
         left: Duration,
     ) -> Result<Response<HeldBody>, HandoffError>
     where
@@ -246,7 +248,7 @@
         } = link;
         let ready = poll_fn(|cx| sender.poll_ready(cx)).await;
         ready.map_err(not_sent)?;
-        let request = self.encode(head, spent).map_err(not_sent)?;
+        let request = self.encode(head, spent, version).map_err(not_sent)?;
         let sent = sender.send_request(request, false);
         let (answering, mut send) = sent.map_err(not_sent)?;
         work.fetch_add(1, Ordering::Relaxed);
@@ -270,7 +272,12 @@
         Ok(Response::from_parts(head, body))
     }
 
-    fn encode(&self, head: &Parts, spent: Duration) -> Result<Request<()>, http::Error> {
+    fn encode(
+        &self,
+        head: &Parts,
+        spent: Duration,
+        version: u64,
+    ) -> Result<Request<()>, http::Error> {
         let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
         let mut request = Request::builder()
             .method(head.method.clone())
@@ -281,6 +288,7 @@
         let hop = Hop {
             from: self.node.clone(),
             spent,
+            version,
         };
         set_hop(headers, &self.key, &hop);
         Ok(request)
--- a/net/src/handoff_server.rs
+++ b/net/src/handoff_server.rs
@@ -37,8 +37,9 @@
 use crate::sockets::Stream;
 use crate::timeout::within;
 
-/// What answers requests that were handed over.
-pub type HopHandler = Arc<dyn Fn(Request<PeerBody>, Hop) -> Answering + Send + Sync>;
+/// What answers requests that were handed over; `None` for one that it does not
+/// take.
+pub type HopHandler = Arc<dyn Fn(Request<PeerBody>, Hop) -> Option<Answering> + Send + Sync>;
 
 /// Connections of other gateways at once.
 const MAX_PEERS: usize = 1_024;
@@ -157,7 +158,10 @@
         return;
     };
     let body = PeerBody::new(stream, &head.headers);
-    let answering = handler(Request::from_parts(head, body), hop);
+    let Some(answering) = handler(Request::from_parts(head, body), hop) else {
+        respond.send_reset(Reason::REFUSED_STREAM);
+        return;
+    };
     let left = async {
         let _ = poll_fn(|cx| respond.poll_reset(cx)).await;
         None
--- a/net/src/handoff_wire.rs
+++ b/net/src/handoff_wire.rs
@@ -36,6 +36,8 @@
 const FROM: HeaderName = HeaderName::from_static("limpetferry-from");
 /// Milliseconds of the caller's time that had passed.
 const SPENT: HeaderName = HeaderName::from_static("limpetferry-spent-ms");
+/// Version of the routing by which the gateway in `FROM` goes.
+const VERSION: HeaderName = HeaderName::from_static("limpetferry-version");
 /// In an answer, milliseconds from the request's head to that of the answer.
 const TOOK: HeaderName = HeaderName::from_static("limpetferry-took-ms");
 
@@ -46,6 +48,9 @@
     pub from: Arc<str>,
     /// Time that had passed when it was handed over.
     pub spent: Duration,
+    /// Version of the routing by which that gateway goes; zero if it did not
+    /// say.
+    pub version: u64,
 }
 
 /// Says in a request which way it took.
@@ -57,6 +62,7 @@
         headers.insert(FROM, value);
     }
     headers.insert(SPENT, millis(hop.spent));
+    headers.insert(VERSION, HeaderValue::from(hop.version));
 }
 
 /// Takes the way out of a request's headers; `None` if it does not carry the
@@ -65,12 +71,14 @@
     let told = headers.remove(KEY)?;
     let from = headers.remove(FROM)?;
     let spent = headers.remove(SPENT)?;
+    let version = headers.remove(VERSION);
     if told.as_bytes() != key.to_string().as_bytes() {
         return None;
     }
     Some(Hop {
         from: from.to_str().ok()?.into(),
         spent: read_millis(&spent)?,
+        version: version.as_ref().and_then(read_number).unwrap_or(0),
     })
 }
 
@@ -90,8 +98,11 @@
 }
 
 fn read_millis(value: &HeaderValue) -> Option<Duration> {
-    let millis = value.to_str().ok()?.parse().ok()?;
-    Some(Duration::from_millis(millis))
+    read_number(value).map(Duration::from_millis)
+}
+
+fn read_number(value: &HeaderValue) -> Option<u64> {
+    value.to_str().ok()?.parse().ok()
 }
 
 /// A body that comes from another gateway. It takes no more than its reader
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -150,6 +150,7 @@
     let arrival = Arrival {
         head: &head,
         route: &target.route,
+        version: target.routing.version,
         attempt: &call.attempt,
         start,
         limit,
--- a/net/tests/handoff.rs
+++ b/net/tests/handoff.rs
@@ -72,6 +72,8 @@
 struct Peer {
     links: Arc<HandoffLinks>,
     address: SocketAddr,
+    /// Version of the routing by which it goes.
+    version: u64,
 }
 
 impl Peer {
@@ -85,7 +87,11 @@
         assert!(links.begin(address));
         let made = links.connect(NOW, address).await;
         made.expect("the gateway takes connections");
-        Self { links, address }
+        Self {
+            links,
+            address,
+            version: 1,
+        }
     }
 
     async fn send(
@@ -97,7 +103,9 @@
         let link = self.links.take(NOW, self.address);
         let link = link.expect("there is a connection");
         let (head, mut body) = request.into_parts();
-        let sent = self.links.send(link, &head, &mut body, spent, left);
+        let sent = self
+            .links
+            .send(link, &head, &mut body, spent, self.version, left);
         within(WAIT, sent).await.expect("it ends in time")
     }
 }
@@ -141,7 +149,7 @@
 fn answering(make: impl Fn() -> Response<Body> + Send + Sync + 'static) -> HopHandler {
     Arc::new(move |_, _| {
         let response = make();
-        Box::pin(async move { response })
+        Some(Box::pin(async move { response }))
     })
 }
 
@@ -220,6 +228,25 @@
     });
 }
 
+// Guards against a configuration that seems to come back older: a gateway that
+// has served by a version hands a request to one that has not heard of it.
+#[test]
+fn a_gateway_takes_no_request_from_one_that_goes_by_a_later_version() {
+    smol::block_on(async {
+        let site = site().await;
+        let mut peer = Peer::of(&site).await;
+        peer.version = 2;
+
+        let refused = peer.send(turn(), Duration::ZERO, LEFT).await;
+        peer.version = 1;
+        let taken = peer.send(turn(), Duration::ZERO, LEFT).await;
+
+        assert_matches!(refused, Err(HandoffError::NotRun { .. }));
+        assert_eq!(taken.expect("an answer").status(), 200);
+        assert_eq!(runs(&site).len(), 1);
+    });
+}
+
 #[test]
 fn a_gateway_with_the_switch_and_no_other_one_serves_its_callers() {
     smol::block_on(async {
@@ -288,7 +315,7 @@
 #[test]
 fn a_gateway_that_never_answers_leaves_the_callers_time_to_end_it() {
     smol::block_on(async {
-        let handler: HopHandler = Arc::new(|_, _| Box::pin(pending()));
+        let handler: HopHandler = Arc::new(|_, _| Some(Box::pin(pending())));
         let (address, _stop) = serve(handler).await;
         let peer = Peer::with(key(), address).await;
 
@@ -333,11 +360,11 @@
         let handler: HopHandler = Arc::new(move |_, _| {
             let ended = ended.lock().expect("no panic while locked").take();
             let began = began.clone();
-            Box::pin(async move {
+            Some(Box::pin(async move {
                 let _ended = ended;
                 began.send(()).await.expect("the test waits");
                 pending().await
-            })
+            }))
         });
         let (address, _stop) = serve(handler).await;
         let peer = Peer::with(key(), address).await;
@@ -474,13 +501,13 @@
         let handler: HopHandler = Arc::new(move |request, _| {
             let ended = ended.lock().expect("no panic while locked").take();
             let counted = counted.clone();
-            Box::pin(async move {
+            Some(Box::pin(async move {
                 let _ended = ended;
                 if request.into_body().collect().await.is_ok() {
                     counted.fetch_add(1, Ordering::Relaxed);
                 }
                 Response::new(whole(""))
-            })
+            }))
         });
         let (address, _stop) = serve(handler).await;
         let peer = Peer::with(key(), address).await;
@@ -489,7 +516,7 @@
 
         let sent = peer
             .links
-            .send(link, &head, &mut broken(), Duration::ZERO, LEFT)
+            .send(link, &head, &mut broken(), Duration::ZERO, 1, LEFT)
             .await;
 
         assert_matches!(sent, Err(HandoffError::Caller));
