http: an answer breaks off only once what came before has left the process

Callers saw: the connection closed with nothing in it, or without the last events, in place of a head, events and a break.

Cause: the HTTP library drops what it has not written once a body fails. The mend gave it one turn to write; a connection that has no room then still loses what waits. Bodies that did not come from a flow, such as those of other gateways, got no turn at all. Class of fault: a failure overtakes what was accepted before it.

Change: each connection notes when the library has written all that it holds, and a body fails only then, or once its caller has not taken it for 0.4 s (callers have their last answer half a second after a route's timeout). What the answer held is released before. The turn in flow is gone.

--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -29,6 +29,7 @@
 
 use crate::clock::Clock;
 use crate::http::Bounds;
+use crate::http::FLUSH_WAIT;
 use crate::http::HEAD_WAIT;
 use crate::http::serve;
 use crate::keys;
@@ -184,6 +185,7 @@
         connections: settings.limits.connections,
         head: settings.limits.head,
         wait: HEAD_WAIT,
+        flush: FLUSH_WAIT,
     };
     let (end, ended) = async_channel::bounded::<()>(1);
     smol::spawn(serve(health, listening, metrics.handler(), ended.clone())).detach();
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -8,6 +8,7 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::BodyExt as _;
+use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
 use limpetferry_lib::events::Event;
@@ -23,7 +24,6 @@
 use crate::attempt::Started;
 use crate::http::Body;
 use crate::http::Cut;
-use crate::http::pieces;
 use crate::refusal::RETRY_KEEPERS;
 use crate::refusal::Refusal;
 use crate::refusal::late;
@@ -174,7 +174,7 @@
                 }
             }
         });
-        pieces(frames)
+        StreamBody::new(frames).boxed_unsync()
     }
 
     /// Waits for whole events, going on at another server if this one breaks
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -39,6 +39,7 @@
 use crate::http;
 use crate::http::Body;
 use crate::http::Bounds;
+use crate::http::FLUSH_WAIT;
 use crate::http::Handler;
 use crate::http::whole;
 use crate::links::bind;
@@ -437,6 +438,7 @@
         head: limits.head,
         // Callers use connections that were idle for up to four fifths of it.
         wait: limits.idle_wait,
+        flush: FLUSH_WAIT,
     };
     let serving = smol::spawn(http::serve(
         callers,
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -12,16 +12,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_lite::StreamExt as _;
-use futures_lite::future::yield_now;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
 use http_body_util::Limited;
-use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::SendRequest;
 use smol::net::TcpListener;
@@ -29,6 +25,8 @@
 use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
+use crate::flushed::FlushedStream;
+use crate::flushed::Flushes;
 use crate::sockets::Stream;
 use crate::timeout::HttpTimer;
 use crate::timeout::within;
@@ -51,6 +49,9 @@
 const CONNECT_WAIT: Duration = Duration::from_millis(350);
 /// Wait for the head of a request where nothing else is set.
 pub const HEAD_WAIT: Duration = Duration::from_secs(10);
+/// Longest wait for a caller to take what comes before a break: callers have
+/// their last answer half a second after a route's timeout.
+pub const FLUSH_WAIT: Duration = Duration::from_millis(400);
 /// Time between looks whether all connections have ended.
 const END_LOOK: Duration = Duration::from_millis(20);
 /// Headers of one request.
@@ -81,6 +82,8 @@
     pub head: usize,
     /// Longest time without a request's head: between requests, or within one.
     pub wait: Duration,
+    /// Longest wait for a caller to take what comes before an answer breaks off.
+    pub flush: Duration,
 }
 
 impl Bounds {
@@ -89,6 +92,7 @@
         connections: 64,
         head: 8 << 10,
         wait: HEAD_WAIT,
+        flush: HEAD_WAIT,
     };
 }
 
@@ -139,9 +143,14 @@
     stop: async_channel::Receiver<()>,
 ) {
     let _ = stream.set_nodelay(true);
+    let flushes = Flushes::new(bounds.flush);
+    let stream = FlushedStream::new(Stream::new(stream), flushes.clone());
     let service = hyper::service::service_fn(move |request| {
-        let answering = handler(request);
-        async move { Ok::<_, Infallible>(answering.await) }
+        let (answering, flushes) = (handler(request), flushes.clone());
+        async move {
+            let answer = answering.await;
+            Ok::<_, Infallible>(answer.map(|body| flushes.before_cut(body)))
+        }
     });
     let connection = hyper::server::conn::http1::Builder::new()
         .timer(HttpTimer)
@@ -149,7 +158,7 @@
         .max_headers(MAX_HEADERS)
         .max_buf_size(bounds.head.max(8192))
         .half_close(false)
-        .serve_connection(FuturesIo::new(Stream::new(stream)), service);
+        .serve_connection(FuturesIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let stopped = async {
         let _ = stop.recv().await;
@@ -186,23 +195,6 @@
         .expect("a constant status and header are valid")
 }
 
-/// Makes the body of an answer from pieces, the last of which may be a cut.
-///
-/// The HTTP library drops what it has not written yet once the body fails, so
-/// it gets a turn to write before it hears of a cut.
-pub fn pieces<S>(pieces: S) -> Body
-where
-    S: futures_lite::Stream<Item = Result<Frame<Bytes>, Cut>> + Send + 'static,
-{
-    let pieces = pieces.then(|piece| async {
-        if piece.is_err() {
-            yield_now().await;
-        }
-        piece
-    });
-    StreamBody::new(pieces).boxed_unsync()
-}
-
 /// Says why a body was not read.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum BodyError {
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod dispatch;
 pub mod entry_node;
 pub mod flow;
+mod flushed;
 pub mod follow;
 mod frames;
 pub mod gateway;
--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -32,6 +32,7 @@
 use crate::copies::machine_run;
 use crate::entry_node::block_event;
 use crate::http::Bounds;
+use crate::http::FLUSH_WAIT;
 use crate::http::HEAD_WAIT;
 use crate::http::serve;
 use crate::keys;
@@ -58,6 +59,7 @@
     connections: 64,
     head: 8_192,
     wait: HEAD_WAIT,
+    flush: FLUSH_WAIT,
 };
 /// Exit code when stale copies cannot be removed.
 const EXIT_COPIES: i32 = 4;
--- a/testutils/src/listen.rs
+++ b/testutils/src/listen.rs
@@ -6,6 +6,7 @@
 use std::sync::MutexGuard;
 
 use limpetferry_net::http::Bounds;
+use limpetferry_net::http::FLUSH_WAIT;
 use limpetferry_net::http::HEAD_WAIT;
 use limpetferry_net::http::Handler;
 use limpetferry_net::http::serve;
@@ -16,6 +17,7 @@
     connections: 10_000,
     head: 64 << 10,
     wait: HEAD_WAIT,
+    flush: FLUSH_WAIT,
 };
 
 /// Serves `handler` at `address` until the returned sender is dropped;
