handoff: an answer that breaks off says so behind all that was sent of it

Callers saw: 502, or a stream without its last events, where another gateway served a stream that was cut as its first event came; found by looking for the cause of a_stream_that_may_not_go_on_is_cut_where_its_caller_sees_it elsewhere.

Change: a break is told in trailers, in order behind the data, to gateways of builds that read them (those that say their version); others get a reset as before.

--- a/net/src/handoff_server.rs
+++ b/net/src/handoff_server.rs
@@ -30,6 +30,7 @@
 use crate::handoff_wire::PeerBody;
 use crate::handoff_wire::Stopped;
 use crate::handoff_wire::send_body;
+use crate::handoff_wire::send_cut;
 use crate::handoff_wire::set_took;
 use crate::handoff_wire::take_hop;
 use crate::http::Answering;
@@ -158,6 +159,7 @@
         return;
     };
     let body = PeerBody::new(stream, &head.headers);
+    let reads_cuts = hop.reads_cuts();
     let Some(answering) = handler(Request::from_parts(head, body), hop) else {
         respond.send_reset(Reason::REFUSED_STREAM);
         return;
@@ -186,7 +188,9 @@
             return;
         }
     };
-    if send_body(&mut send, &mut body).await == Err(Stopped::Source) {
+    if send_body(&mut send, &mut body).await == Err(Stopped::Source)
+        && !(reads_cuts && send_cut(&mut send).is_ok())
+    {
         send.send_reset(Reason::INTERNAL_ERROR);
     }
 }
--- a/net/src/handoff_wire.rs
+++ b/net/src/handoff_wire.rs
@@ -38,6 +38,8 @@
 const SPENT: HeaderName = HeaderName::from_static("limpetferry-spent-ms");
 /// Version of the routing by which the gateway in `FROM` goes.
 const VERSION: HeaderName = HeaderName::from_static("limpetferry-version");
+/// In the trailers of an answer, that its source broke off.
+const CUT: HeaderName = HeaderName::from_static("limpetferry-cut");
 /// In an answer, milliseconds from the request's head to that of the answer.
 const TOOK: HeaderName = HeaderName::from_static("limpetferry-took-ms");
 
@@ -53,6 +55,14 @@
     pub version: u64,
 }
 
+impl Hop {
+    /// Returns whether the gateway that handed the request over reads in trailers
+    /// that an answer broke off: builds that say their version do.
+    pub fn reads_cuts(&self) -> bool {
+        self.version > 0
+    }
+}
+
 /// Says in a request which way it took.
 pub fn set_hop(headers: &mut HeaderMap, key: &Digest, hop: &Hop) {
     if let Ok(value) = HeaderValue::from_str(&key.to_string()) {
@@ -132,7 +142,13 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         let stream = &mut self.stream;
         Poll::Ready(match ready!(stream.poll_data(cx)) {
-            None => None,
+            None => {
+                let trailers = ready!(stream.poll_trailers(cx));
+                let is_cut = trailers.map_or(true, |found| {
+                    found.is_some_and(|trailers| trailers.contains_key(CUT))
+                });
+                is_cut.then_some(Err(Cut))
+            }
             Some(Ok(bytes)) => match stream.flow_control().release_capacity(bytes.len()) {
                 Ok(()) => Some(Ok(Frame::data(bytes))),
                 Err(_) => Some(Err(Cut)),
@@ -191,6 +207,18 @@
         .map_err(|_| Stopped::Peer)
 }
 
+/// Ends an answer whose source broke off, behind all that was sent of it. A
+/// reset would overtake what still waits to be sent.
+///
+/// # Errors
+///
+/// Returns [`Stopped::Peer`] if the other end takes no more of it.
+pub fn send_cut(send: &mut SendStream<Bytes>) -> Result<(), Stopped> {
+    let mut trailers = HeaderMap::new();
+    trailers.insert(CUT, HeaderValue::from_static("1"));
+    send.send_trailers(trailers).map_err(|_| Stopped::Peer)
+}
+
 async fn send_piece(send: &mut SendStream<Bytes>, mut bytes: Bytes) -> Result<(), Stopped> {
     while !bytes.is_empty() {
         send.reserve_capacity(bytes.len());
--- a/net/tests/handoff.rs
+++ b/net/tests/handoff.rs
@@ -12,6 +12,7 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use futures_lite::future::pending;
+use futures_lite::stream::iter;
 use futures_lite::stream::unfold;
 use http::Request;
 use http::Response;
@@ -30,6 +31,7 @@
 use limpetferry_net::handoff_wire::ANSWER_WINDOW;
 use limpetferry_net::handoff_wire::take_took;
 use limpetferry_net::http::Body;
+use limpetferry_net::http::Cut;
 use limpetferry_net::http::whole;
 use limpetferry_net::timeout::within;
 use limpetferry_testutils::platform_server::Behaviour;
@@ -602,3 +604,25 @@
         assert_eq!((answer.status, answer.whole), (200, true));
     });
 }
+
+// Guards against a caller of a stream that is cut who sees neither its head nor
+// the events that were ready, as another gateway served it.
+#[test]
+fn an_event_that_is_ready_comes_from_another_gateway_before_a_cut() {
+    smol::block_on(async {
+        let (address, _stop) = serve(answering(|| {
+            let event = Ok(Frame::data(Bytes::from("event")));
+            let body = StreamBody::new(iter([event, Err(Cut)]));
+            Response::new(body.boxed_unsync())
+        }))
+        .await;
+        let peer = Peer::with(key(), address).await;
+
+        let answer = peer.send(turn(), Duration::ZERO, LEFT).await;
+
+        let mut body = answer.expect("a head").into_body();
+        let event = body.frame().await.expect("an event").expect("it is whole");
+        assert_eq!(event.into_data().expect("data"), "event");
+        assert_matches!(body.frame().await, Some(Err(Cut)));
+    });
+}
