site: an invalid routing does not take the place of the last good one

Once a routing that cannot be read was written, a process that started got that one alone from keepers and their disks, and refused everything, while all others went on by the last good one.

Cause: an item was stored and passed on before it was read. Class of fault: a state is kept before it is known to be valid.

Change: a routing is read first; one that is invalid is noted and neither kept nor told.

Test: an_invalid_routing_does_not_take_the_place_of_the_last_good_one; it failed before (no routing).

--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -344,12 +344,20 @@
     }
 
     pub(crate) fn apply(&self, item: Item, origin: Origin<'_>) {
+        if item.revision <= self.known().last_change(&item.key) {
+            return;
+        }
         let Some(item) = self.sealed(item) else {
             return;
         };
-        if !self.store_item(&item, origin.lapsed) {
-            return;
-        }
+        let routing = match (&*item.key, &item.value) {
+            (document::ROUTING_KEY, Some(value)) => match document::decode_routing(value) {
+                Ok(routing) => Some(routing),
+                Err(error) => return self.routing_unread(&error, item.revision),
+            },
+            _ => None,
+        };
+        self.store_item(&item, origin.lapsed);
         let Item {
             key,
             value,
@@ -362,19 +370,16 @@
             }
         } else if let Some(node) = key.strip_prefix(document::RETIRE_PREFIX) {
             self.retire(node, value.is_some());
-        } else if let (document::ROUTING_KEY, Some(value)) = (&*key, &value) {
-            self.routing(value, revision, origin);
+        } else if let Some(routing) = routing {
+            self.routing(routing, revision, origin);
         } else if let (KEEPERS_KEY, Some(value)) = (&*key, &value) {
             self.keepers(value, revision);
         }
     }
 
-    /// Keeps an item for other processes; returns whether it is news.
-    fn store_item(&self, item: &Item, lapsed: bool) -> bool {
+    /// Keeps an item for other processes.
+    fn store_item(&self, item: &Item, lapsed: bool) {
         let mut known = self.known();
-        if item.revision <= known.last_change(&item.key) {
-            return false;
-        }
         match &item.value {
             Some(value) => {
                 let stored = Stored {
@@ -396,7 +401,6 @@
             revision: item.revision,
             lapsed,
         });
-        true
     }
 
     fn retire(&self, node: &str, asked: bool) {
@@ -461,32 +465,27 @@
         }
     }
 
-    fn routing(&self, value: &[u8], revision: u64, origin: Origin<'_>) {
-        match document::decode_routing(value) {
-            Ok(routing) => {
-                let mut known = self.known();
-                let newer = known
-                    .routing
-                    .as_ref()
-                    .is_none_or(|old| old.version < routing.version);
-                let note = Note::new("routing")
-                    .with("version", routing.version)
-                    .with("routes", routing.len())
-                    .with(
-                        "workspaces",
-                        routing.workspaces.as_ref().map_or(0, Workspaces::len),
-                    )
-                    .with("revision", revision)
-                    .with("in_force", newer)
-                    .with("by", origin.by);
-                if newer {
-                    known.routing = Some(Arc::new(routing));
-                }
-                drop(known);
-                self.note(note);
-            }
-            Err(error) => self.routing_unread(&error, revision),
+    fn routing(&self, routing: Routing, revision: u64, origin: Origin<'_>) {
+        let mut known = self.known();
+        let newer = known
+            .routing
+            .as_ref()
+            .is_none_or(|old| old.version < routing.version);
+        let note = Note::new("routing")
+            .with("version", routing.version)
+            .with("routes", routing.len())
+            .with(
+                "workspaces",
+                routing.workspaces.as_ref().map_or(0, Workspaces::len),
+            )
+            .with("revision", revision)
+            .with("in_force", newer)
+            .with("by", origin.by);
+        if newer {
+            known.routing = Some(Arc::new(routing));
         }
+        drop(known);
+        self.note(note);
     }
 
     fn keepers(&self, value: &[u8], revision: u64) {
--- a/net/tests/site.rs
+++ b/net/tests/site.rs
@@ -81,3 +81,27 @@
         assert_eq!(revision, left);
     });
 }
+
+// Guards against a process that starts without any routing, as the newest one
+// is invalid and has taken the place of the last good one.
+#[test]
+fn an_invalid_routing_does_not_take_the_place_of_the_last_good_one() {
+    let mut invalid = routing(2);
+    invalid["Routes"][0]["Type"] = json!("unheard of");
+    let changes = [routing(1), invalid].into_iter().zip(1..);
+    let changes = changes.map(|(document, revision)| Change {
+        key: "op/config".to_owned(),
+        value: Some(document.to_string().into()),
+        revision,
+        lapsed: false,
+    });
+    let keeper = site();
+    keeper.take_changes(changes.collect(), 2, "store");
+
+    let starting = site();
+    starting.take_snapshot(keeper.snapshot(), "keeper");
+
+    let known = starting.known();
+    let routing = known.routing.as_ref().expect("a routing");
+    assert_eq!(routing.version, 1);
+}
