store watch: what a lagging watch missed has not lapsed

A server that left while one keeper's watch lagged was kept for two seconds more by that keeper and those that it told, as if its entry had lapsed with the store away.

Cause: any break of a watch counted as an absence of the store. One that others have heard from has not been away. Class of fault: two states, out of reach and behind, told apart by nothing.

Change: a process that is behind says so to those that follow it, as before, and takes what it then reads for what it is.

Test: a_server_that_left_while_a_watch_lagged_is_not_kept; it failed before (15 servers of 14).

--- a/net/src/site_watch.rs
+++ b/net/src/site_watch.rs
@@ -35,12 +35,23 @@
 /// Time between looks whether keepers still tell.
 const FED_LOOK: Duration = Duration::from_millis(100);
 
+/// What is known of the way to the platform's store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Contact {
+    /// It answers.
+    Heard,
+    /// It has told others more than this process.
+    Behind,
+    /// It does not answer, and entries in it may lapse.
+    Lost,
+}
+
 impl Site {
     /// Follows the platform's store for as long as the process runs. The store
     /// may hold each call for `hold`.
     pub async fn follow(self: Arc<Self>, mut store: PlatformStore, hold: Duration) {
         let mut wait = FIRST_WAIT;
-        let mut away = false;
+        let mut contact = Contact::Heard;
         let mut fresh = false;
         self.await_keepers().await;
         loop {
@@ -52,9 +63,9 @@
                 continue;
             }
             let result = if fresh {
-                self.watch(&mut store, hold, &mut away).await
+                self.watch(&mut store, hold, &mut contact).await
             } else {
-                self.read(&mut store, &mut away).await
+                self.read(&mut store, &mut contact).await
             };
             match result {
                 Ok(()) => {
@@ -72,13 +83,7 @@
                     fresh = false;
                     continue;
                 }
-                Err(error) if !away => {
-                    away = true;
-                    self.away.store(true, Ordering::Relaxed);
-                    self.tell_waiting();
-                    self.note(Note::new("store_lost").with("why", error));
-                }
-                Err(_) => {}
+                Err(error) => self.lose(&mut contact, &error),
             }
             // A watch that goes on where a broken one ended may hear nothing
             // of what came between, if the history is dropped meanwhile.
@@ -102,9 +107,13 @@
         self.follower.load(Ordering::Relaxed)
     }
 
-    async fn read(&self, store: &mut PlatformStore, away: &mut bool) -> Result<(), PlatformError> {
+    async fn read(
+        &self,
+        store: &mut PlatformStore,
+        contact: &mut Contact,
+    ) -> Result<(), PlatformError> {
         let page = store.list("").await?;
-        let lapsed = self.back(away, page.revision);
+        let lapsed = self.back(contact, page.revision);
         self.note(
             Note::new("store_read")
                 .with("revision", page.revision)
@@ -124,14 +133,14 @@
         &self,
         store: &mut PlatformStore,
         hold: Duration,
-        away: &mut bool,
+        contact: &mut Contact,
     ) -> Result<(), PlatformError> {
         let revision = self.known().revision;
         self.begin_watch(revision, hold);
         let changes = future::or(store.watch("", revision, hold), self.lost_watch()).await;
         self.known().watch = None;
         let changes = changes?;
-        let lapsed = self.back(away, changes.revision);
+        let lapsed = self.back(contact, changes.revision);
         if !is_gapless(revision, &changes) {
             return Err(PlatformError::Reply(ReplyError::Compacted));
         }
@@ -174,14 +183,28 @@
 
     /// Notes that the store answers; returns whether it was away before, so
     /// that entries may have lapsed in servers that live.
-    fn back(&self, away: &mut bool, revision: u64) -> bool {
-        let was_away = std::mem::take(away);
+    fn back(&self, contact: &mut Contact, revision: u64) -> bool {
+        let before = std::mem::replace(contact, Contact::Heard);
         self.away.store(false, Ordering::Relaxed);
         self.relies.store(false, Ordering::Relaxed);
-        if was_away {
+        if before != Contact::Heard {
             self.note(Note::new("store_regained").with("revision", revision));
         }
-        was_away
+        before == Contact::Lost
+    }
+
+    /// Notes that the store does not answer, or less than it tells others.
+    fn lose(&self, contact: &mut Contact, error: &PlatformError) {
+        let before = *contact;
+        *contact = match error {
+            PlatformError::Behind if before != Contact::Lost => Contact::Behind,
+            _ => Contact::Lost,
+        };
+        if before == Contact::Heard {
+            self.away.store(true, Ordering::Relaxed);
+            self.tell_waiting();
+            self.note(Note::new("store_lost").with("why", error));
+        }
     }
 }
 
--- a/net/tests/site.rs
+++ b/net/tests/site.rs
@@ -82,6 +82,30 @@
     });
 }
 
+// Guards against servers that left being kept as if the store had been away,
+// where only the watch of one process lagged.
+#[test]
+fn a_server_that_left_while_a_watch_lagged_is_not_kept() {
+    smol::block_on(async {
+        let store = store();
+        let (at, _open) = listen(any_port(), store.handler()).await;
+        let site = site();
+        let following = site.clone().follow(PlatformStore::new(at), MOST_HOLD);
+        smol::spawn(following).detach();
+        eventually("the store is watched", async || store.calls() == 3).await;
+        store.set_faults(PlatformFaults {
+            mute: true,
+            ..PlatformFaults::default()
+        });
+
+        let left = store.remove(EARLY);
+        site.note_revision(left);
+        eventually("it is heard of", async || site.known().revision == left).await;
+
+        assert_eq!(site.known().fleet.ready("engine"), SERVERS - 1);
+    });
+}
+
 // Guards against a process that starts without any routing, as the newest one
 // is invalid and has taken the place of the last good one.
 #[test]
