--- a/net/src/flushed.rs
+++ b/net/src/flushed.rs
@@ -23,6 +23,7 @@
 
 use crate::http::Body;
 use crate::http::Cut;
+use crate::http::whole;
 use crate::sockets::Stream;
 use crate::timeout::within;
 
@@ -164,7 +165,7 @@
             match ready!(Pin::new(&mut self.body).poll_frame(cx)) {
                 Some(Err(cut)) => {
                     // What the answer held is free meanwhile.
-                    self.body = crate::http::whole("");
+                    self.body = whole("");
                     let waiting = self.flushes.clone().wait();
                     self.cut = Some((cut, Box::pin(waiting)));
                 }
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod keeper_list;
 pub mod keeper_node;
 pub mod keys;
+pub mod known;
 pub mod links;
 pub mod load_reporter;
 pub mod load_reports;
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -2,9 +2,7 @@
 //! the list of keepers, fed by a watch of the platform's store.
 
 use std::borrow::Cow;
-use std::collections::BTreeMap;
 use std::collections::HashSet;
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -15,13 +13,10 @@
 use limpetferry_lib::ask::Change;
 use limpetferry_lib::ask::Reply;
 use limpetferry_lib::ask::Snapshot;
-use limpetferry_lib::ask::Stored;
 use limpetferry_lib::effect::Note;
-use limpetferry_lib::fleet::Fleet;
 use limpetferry_lib::fleet::LAPSE_WAIT;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::routing::Routing;
-use limpetferry_lib::store_watch::StoreWatch;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::workspace::KeyDigest;
 use limpetferry_lib::workspace::KeyDigester;
@@ -31,6 +26,7 @@
 use limpetferry_platform::store::Item;
 
 use crate::clock::Clock;
+use crate::known::Known;
 use crate::log;
 
 /// Key of the list of keepers.
@@ -38,70 +34,9 @@
 /// How long what a keeper last said holds: two of its answers, which come at
 /// least every 0.7 s.
 const FED_WAIT: Duration = Duration::from_millis(1_500);
-/// Changes kept for those that follow: some minutes of a release of hundreds
-/// of servers.
-const MAX_LOG: usize = 4_096;
 /// Time between looks for servers whose entries did not come back.
 const EXPIRE_EVERY: Duration = Duration::from_millis(100);
 
-/// What is known, as of now.
-#[derive(Debug, Default)]
-pub struct Known {
-    /// The operator's routes; `None` until they were read.
-    pub routing: Option<Arc<Routing>>,
-    /// The servers.
-    pub fleet: Fleet,
-    /// The list of keepers.
-    pub keepers: Arc<Membership>,
-    /// Revision of the list of keepers in the store, zero if it has none.
-    pub keepers_revision: u64,
-    /// Names of keepers that the operator wants emptied.
-    pub retiring: HashSet<String>,
-    /// Revision of the store up to which everything is known.
-    pub revision: u64,
-    /// Whether the store was read in this life of the process.
-    pub read: bool,
-    items: BTreeMap<String, Stored>,
-    /// Revisions of removals that are in the log, by key: a slower source may
-    /// still tell the item.
-    removed: BTreeMap<String, u64>,
-    /// Changes for those that follow this process, oldest first.
-    log: VecDeque<Change>,
-    /// Revision after which the log is complete.
-    pub(crate) log_from: u64,
-    /// When a keeper that hears from the store was last heard of.
-    fed: Option<Time>,
-    /// The call that watches the store, while it waits.
-    pub(crate) watch: Option<StoreWatch>,
-    /// Latest revision of the store that another process was heard to know.
-    pub(crate) others: u64,
-}
-
-impl Known {
-    /// Returns the revision at which an item was last seen to change, zero if
-    /// that is not known.
-    fn last_change(&self, key: &str) -> u64 {
-        let present = self.items.get(key).map(|item| item.revision);
-        present
-            .or_else(|| self.removed.get(key).copied())
-            .unwrap_or(0)
-    }
-
-    /// Keeps a change for those that follow this process.
-    fn push_change(&mut self, change: Change) {
-        self.log.push_back(change);
-        if self.log.len() <= MAX_LOG {
-            return;
-        }
-        if let Some(oldest) = self.log.pop_front() {
-            self.log_from = self.log_from.max(oldest.revision);
-            if self.removed.get(&oldest.key) == Some(&oldest.revision) {
-                self.removed.remove(&oldest.key);
-            }
-        }
-    }
-}
-
 /// Where a change of what is known comes from.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Origin<'a> {
@@ -195,11 +130,7 @@
 
     /// Returns what is known from the store.
     pub fn snapshot(&self) -> Snapshot {
-        let known = self.known();
-        Snapshot {
-            revision: known.revision,
-            items: known.items.values().cloned().collect(),
-        }
+        self.known().snapshot()
     }
 
     /// Returns what says that there may be news: changes, or that the store no
@@ -228,18 +159,17 @@
         if known.revision <= after {
             return None;
         }
-        if after < known.log_from {
-            drop(known);
-            return Some(Reply::Snapshot {
-                snapshot: self.snapshot(),
-                away: !self.hears_store(),
-            });
-        }
-        let news = known.log.iter().filter(|change| change.revision > after);
-        Some(Reply::Changes {
-            changes: news.cloned().collect(),
-            revision: known.revision,
-            away: !self.hears_store(),
+        let away = !self.hears_store();
+        Some(match known.changes(after) {
+            Some(changes) => Reply::Changes {
+                changes,
+                revision: known.revision,
+                away,
+            },
+            None => Reply::Snapshot {
+                snapshot: known.snapshot(),
+                away,
+            },
         })
     }
 
@@ -357,7 +287,7 @@
             },
             _ => None,
         };
-        self.store_item(&item, origin.lapsed);
+        self.known().keep(&item, origin.lapsed);
         let Item {
             key,
             value,
@@ -377,32 +307,6 @@
         }
     }
 
-    /// Keeps an item for other processes.
-    fn store_item(&self, item: &Item, lapsed: bool) {
-        let mut known = self.known();
-        match &item.value {
-            Some(value) => {
-                let stored = Stored {
-                    key: item.key.clone(),
-                    value: value.clone(),
-                    revision: item.revision,
-                };
-                known.items.insert(item.key.clone(), stored);
-                known.removed.remove(&item.key);
-            }
-            None => {
-                known.items.remove(&item.key);
-                known.removed.insert(item.key.clone(), item.revision);
-            }
-        }
-        known.push_change(Change {
-            key: item.key.clone(),
-            value: item.value.clone(),
-            revision: item.revision,
-            lapsed,
-        });
-    }
-
     fn retire(&self, node: &str, asked: bool) {
         let mut known = self.known();
         if asked {
