site tests: one fixture for a site that watches its store

Cause: two tests made the same listener, site and first reading by the same lines. Change: one function; assertions and order stay. The file's three tests pass, three runs.

--- a/net/tests/site.rs
+++ b/net/tests/site.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use async_channel::Sender;
 use limpetferry_lib::ask::Change;
 use limpetferry_lib::store_watch::MOST_HOLD;
 use limpetferry_lib::workspace::KeyDigester;
@@ -40,6 +41,17 @@
     Site::new("gateway", Clock::default(), digester, changed)
 }
 
+/// Makes a site that has read the store, two pages, and watches it. The store
+/// answers for as long as the channel is open.
+async fn watching(store: &StandInPlatform) -> (Arc<Site>, Sender<()>) {
+    let (at, open) = listen(any_port(), store.handler()).await;
+    let site = site();
+    let following = site.clone().follow(PlatformStore::new(at), MOST_HOLD);
+    smol::spawn(following).detach();
+    eventually("the store is watched", async || store.calls() == 3).await;
+    (site, open)
+}
+
 fn removal(key: &str, revision: u64) -> Change {
     Change {
         key: key.to_owned(),
@@ -56,11 +68,7 @@
 fn a_server_that_left_while_the_store_was_read_stays_gone() {
     smol::block_on(async {
         let store = store();
-        let (at, _open) = listen(any_port(), store.handler()).await;
-        let site = site();
-        let following = site.clone().follow(PlatformStore::new(at), MOST_HOLD);
-        smol::spawn(following).detach();
-        eventually("the store is watched", async || store.calls() == 3).await;
+        let (site, _open) = watching(&store).await;
         store.set_faults(PlatformFaults {
             hold_pages: true,
             ..PlatformFaults::default()
@@ -88,11 +96,7 @@
 fn a_server_that_left_while_a_watch_lagged_is_not_kept() {
     smol::block_on(async {
         let store = store();
-        let (at, _open) = listen(any_port(), store.handler()).await;
-        let site = site();
-        let following = site.clone().follow(PlatformStore::new(at), MOST_HOLD);
-        smol::spawn(following).detach();
-        eventually("the store is watched", async || store.calls() == 3).await;
+        let (site, _open) = watching(&store).await;
         store.set_faults(PlatformFaults {
             mute: true,
             ..PlatformFaults::default()
