logs: version of a server, and which attempt and event a stream goes on from

The logs of the incident cannot tell its hypotheses apart: a stream that its caller takes up and one that goes on within its answer leave the same line, and no line names a version.

A server's Version is decoded into ServerVersion of lib, which knows equality only, and Resumes into Call::resumes. `server`, `answered` and `attempt_failed` name the version; `answered` and `cut` name last_event and resumes; stream_resumed is new. No decision reads either yet.

--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -39,6 +39,8 @@
     pub object: Option<String>,
     /// Id of the last event that the caller received of a stream it resumes.
     pub last_event: Option<u64>,
+    /// The attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<Arc<str>>,
 }
 
 impl Call {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod rules;
 pub mod server;
 mod server_messages;
+pub mod server_version;
 pub mod service_time;
 pub mod shard_copies;
 pub mod shard_map;
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -8,6 +8,7 @@
 
 use crate::hash;
 use crate::load_report::ServerStart;
+use crate::server_version::ServerVersion;
 
 /// Whether a server accepts new requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +28,8 @@
     pub started_at: Option<u64>,
     /// The service that it belongs to.
     pub service: Arc<str>,
+    /// Version of its software.
+    pub version: ServerVersion,
     /// Address that accepts requests.
     pub address: SocketAddr,
     /// Its data centre.
--- a/lib/tests/cached.rs
+++ b/lib/tests/cached.rs
@@ -11,6 +11,7 @@
 use limpetferry_lib::place::Places;
 use limpetferry_lib::server::Server;
 use limpetferry_lib::server::ServerState;
+use limpetferry_lib::server_version::ServerVersion;
 use limpetferry_lib::time::Time;
 
 const SHARED: u64 = 1;
@@ -35,6 +36,7 @@
         id: format!("server-{number}").into(),
         started_at: None,
         service: Arc::from("engine"),
+        version: ServerVersion::new("v1"),
         address: ([10, 0, 0, 1], 8_000 + number).into(),
         centre: Arc::from("here"),
         slots: 48,
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -18,6 +18,7 @@
 use limpetferry_lib::server::Server;
 use limpetferry_lib::server::ServerOutcome;
 use limpetferry_lib::server::ServerState;
+use limpetferry_lib::server_version::ServerVersion;
 use limpetferry_lib::switches::Switches;
 use limpetferry_lib::time::Time;
 
@@ -26,6 +27,7 @@
         id: format!("server-{number}").into(),
         started_at: None,
         service: Arc::from("engine"),
+        version: ServerVersion::new("v1"),
         address: ([10, 0, 0, 1], 8_000 + number).into(),
         centre: Arc::from(if number.is_multiple_of(2) {
             "here"
--- a/lib/tests/load_map.rs
+++ b/lib/tests/load_map.rs
@@ -26,6 +26,7 @@
 use limpetferry_lib::server::Load;
 use limpetferry_lib::server::Server;
 use limpetferry_lib::server::ServerState;
+use limpetferry_lib::server_version::ServerVersion;
 use limpetferry_lib::time::Time;
 
 /// Relative error of an estimate that decisions still tolerate.
@@ -83,6 +84,7 @@
         id: format!("server-{number}").into(),
         started_at: None,
         service: "engine".into(),
+        version: ServerVersion::new("v1"),
         address: ([10, high, middle, low], 8_000).into(),
         centre: "here".into(),
         slots: 16,
--- a/lib/tests/outlier.rs
+++ b/lib/tests/outlier.rs
@@ -11,6 +11,7 @@
 use limpetferry_lib::server::Server;
 use limpetferry_lib::server::ServerOutcome;
 use limpetferry_lib::server::ServerState;
+use limpetferry_lib::server_version::ServerVersion;
 use limpetferry_lib::time::Time;
 
 const SERVERS: u16 = 6;
@@ -26,6 +27,7 @@
             id: format!("server-{number}").into(),
             started_at: None,
             service: Arc::from("tool"),
+            version: ServerVersion::new("v1"),
             address: ([10, 0, 0, 1], 8_000 + number).into(),
             centre: Arc::from("here"),
             slots: 6,
--- a/lib/tests/pace.rs
+++ b/lib/tests/pace.rs
@@ -17,6 +17,7 @@
 use limpetferry_lib::server::Server;
 use limpetferry_lib::server::ServerOutcome;
 use limpetferry_lib::server::ServerState;
+use limpetferry_lib::server_version::ServerVersion;
 use limpetferry_lib::service_time::RequestConditions;
 use limpetferry_lib::service_time::Span;
 use limpetferry_lib::switches::Switches;
@@ -39,6 +40,7 @@
         id: format!("server-{number}").into(),
         started_at: Some(1),
         service: Arc::from("tool"),
+        version: ServerVersion::new("v1"),
         address: ([10, 0, 0, 1], 8_000 + number as u16).into(),
         centre: Arc::from(centre),
         slots: SLOTS,
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -16,6 +16,7 @@
 use limpetferry_lib::place::Place;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::server::ServerOutcome;
+use limpetferry_lib::server_version::ServerVersion;
 use limpetferry_lib::service_time::RequestConditions;
 use limpetferry_lib::service_time::Span;
 use limpetferry_lib::time::Time;
@@ -53,6 +54,8 @@
     pub key: ServerKey,
     /// Id of the server.
     pub server: Arc<str>,
+    /// Version of the server's software.
+    pub version: ServerVersion,
     sender: Option<Sender>,
     keep: Option<Duration>,
     over: bool,
@@ -251,14 +254,16 @@
         if !known.fleet.is_ready(key) {
             return None;
         }
-        let server = known.fleet.server(key)?.id.clone();
+        let server = known.fleet.server(key)?;
+        let (id, version) = (server.id.clone(), server.version.clone());
         let now = self.now();
         let work = known.fleet.begin(now, key, &self.wish(&[]));
         self.steps.expect(&work);
         Some(Lease {
             gateway: self.gateway.clone(),
             key,
-            server,
+            server: id,
+            version,
             sender: None,
             keep: None,
             over: false,
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -275,7 +275,8 @@
                 "the server broke off, and another one could not go on",
             ));
         }
-        self.job.gateway.meters.resumed.inc();
+        let gateway = &self.job.gateway;
+        gateway.stream_resumed(&self.job, &started.lease, last);
         self.splitter = Splitter::default();
         self.body = started.body;
         self.lease = Some(started.lease);
@@ -294,11 +295,12 @@
             if self.is_fresh() {
                 lease.observe_end(self.events);
             }
-            let server = lease.server.clone();
+            let (server, version) = (lease.server.clone(), lease.version.clone());
             lease.end(ServerOutcome::Answered, true);
+            let by = (&*server, &version);
             self.job
                 .gateway
-                .answered(&self.job, &server, StatusCode::OK, self.events);
+                .answered(&self.job, by, StatusCode::OK, self.events);
         }
         let Some(turn) = self.turn.take() else {
             return Ok(());
--- a/net/src/gateway/notes.rs
+++ b/net/src/gateway/notes.rs
@@ -6,12 +6,14 @@
 use limpetferry_lib::call::Call;
 use limpetferry_lib::criteria::ServerKey;
 use limpetferry_lib::effect::LogEvent;
+use limpetferry_lib::server_version::ServerVersion;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::workspace::Workspace;
 use prometheus::core::Collector as _;
 
 use super::Gateway;
 use crate::attempt::Failure;
+use crate::attempt::Lease;
 use crate::log;
 use crate::refusal::Refusal;
 use crate::relay::Job;
@@ -77,17 +79,24 @@
             .failures
             .with_label_values(&[failure.label()])
             .inc();
-        let server = self.site.known().fleet.server(key).map(|s| s.id.clone());
-        self.note(
-            LogEvent::new("attempt_failed")
-                .with("attempt", attempt)
-                .with("server", server.as_deref().unwrap_or("gone"))
-                .with("why", format!("{failure:?}")),
-        );
+        let note = LogEvent::new("attempt_failed").with("attempt", attempt);
+        let note = match self.site.known().fleet.server(key) {
+            Some(server) => note
+                .with("server", &server.id)
+                .with("version", &server.version),
+            None => note.with("server", "gone"),
+        };
+        self.note(note.with("why", format!("{failure:?}")));
     }
 
     /// Notes that a server's answer went to the caller.
-    pub fn answered(&self, job: &Job, server: &str, status: StatusCode, events: u64) {
+    pub fn answered(
+        &self,
+        job: &Job,
+        (server, version): (&str, &ServerVersion),
+        status: StatusCode,
+        events: u64,
+    ) {
         let now = self.clock.now();
         let time = now.since(job.start);
         self.meters.request_time.observe(time.as_secs_f64());
@@ -100,11 +109,25 @@
         let note = self
             .about(LogEvent::new("answered"), job)
             .with("server", server)
+            .with("version", version)
             .with("status", status.as_u16())
             .with("events", events);
         self.note(note);
     }
 
+    /// Notes that a stream goes on at another server, or at the same one again,
+    /// after the event `last_event`.
+    pub fn stream_resumed(&self, job: &Job, lease: &Lease, last_event: Option<u64>) {
+        self.meters.resumed.inc();
+        self.note(
+            LogEvent::new("stream_resumed")
+                .with("attempt", &job.call.attempt)
+                .with("server", &lease.server)
+                .with("version", &lease.version)
+                .with("after_event", last_event.map_or(-1, |id| id as i64)),
+        );
+    }
+
     /// Notes that a stream was broken off.
     pub fn cut(&self, job: &Job, events: u64, why: &str) {
         self.meters.cut.inc();
@@ -129,6 +152,14 @@
             )
             .with("waited_ms", self.waited(job.start));
         let note = job.steps.tell(note);
+        let note = match job.call.last_event {
+            Some(last_event) => note.with("last_event", last_event),
+            None => note,
+        };
+        let note = match &job.call.resumes {
+            Some(resumes) => note.with("resumes", resumes),
+            None => note,
+        };
         match &job.hop {
             Some(hop) => note.with("taken_over", &hop.from),
             None => note,
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -337,6 +337,7 @@
         };
         started.lease.heard();
         let server = started.lease.server.clone();
+        let version = started.lease.version.clone();
         let outcome = if started.head.status.is_server_error() {
             ServerOutcome::Failed
         } else {
@@ -346,7 +347,8 @@
             started.lease.observe_plain();
         }
         started.lease.end(outcome, true);
-        self.gateway.answered(self, &server, started.head.status, 0);
+        let by = (&*server, &version);
+        self.gateway.answered(self, by, started.head.status, 0);
         let mut response = Response::new(whole(body));
         *response.status_mut() = started.head.status;
         *response.headers_mut() = header::encode_answer(&started.head.headers);
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -330,6 +330,7 @@
         let note = LogEvent::new("server")
             .with("server", id)
             .with("service", &server.service)
+            .with("version", &server.version)
             .with("address", server.address)
             .with("state", format!("{:?}", server.state))
             .with("born", server.started_at.unwrap_or_default());
--- a/net/tests/load_reports.rs
+++ b/net/tests/load_reports.rs
@@ -21,6 +21,7 @@
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::server::Server;
 use limpetferry_lib::server::ServerState;
+use limpetferry_lib::server_version::ServerVersion;
 use limpetferry_lib::switches::Switches;
 use limpetferry_lib::workspace::KeyDigester;
 use limpetferry_net::clock::Clock;
@@ -127,6 +128,7 @@
             id: "server".into(),
             started_at: None,
             service: "engine".into(),
+            version: ServerVersion::new("v1"),
             address: ([127, 0, 0, 1], 9).into(),
             centre: "here".into(),
             slots: 16,
