--- /dev/null
+++ b/net/tests/versions.rs
@@ -0,0 +1,193 @@
+//! Streams while servers of two versions of their software serve side by side.
+
+use limpetferry_testutils::platform_server::Behaviour;
+use limpetferry_testutils::platform_server::EVENTS;
+use limpetferry_testutils::platform_server::versions;
+use limpetferry_testutils::platform_site::Answer;
+use limpetferry_testutils::platform_site::FIRST_VERSION;
+use limpetferry_testutils::platform_site::PlatformSite;
+
+/// Version of the servers that are added.
+const SECOND_VERSION: &str = "v2";
+/// Streams of a test: if each one went on at any server, two in three would
+/// change their version.
+const STREAMS: usize = 8;
+
+/// A stream that broke off, as its caller knows it.
+#[derive(Debug)]
+struct Broken {
+    attempt: String,
+    program: String,
+    text: String,
+}
+
+/// Starts a site with two servers of each version.
+async fn site() -> PlatformSite {
+    let mut site = PlatformSite::start(2, 3, 1).await;
+    for engine in &site.engines {
+        engine.set_version(FIRST_VERSION);
+    }
+    for _ in 0..2 {
+        site.add_engine_of(SECOND_VERSION).await;
+        let engine = site.engines.last().expect("an engine was added");
+        engine.set_version(SECOND_VERSION);
+    }
+    wait_for_engines(&site, 4).await;
+    site
+}
+
+/// Waits until both gateways list this number of engines, and the two plain
+/// servers.
+async fn wait_for_engines(site: &PlatformSite, engines: u64) {
+    for gateway in 0..2 {
+        site.wait_for_servers(gateway, engines + 2).await;
+    }
+}
+
+/// Makes all engines do the same with their next requests.
+fn behave(site: &PlatformSite, behaviours: &[Behaviour]) {
+    for engine in &site.engines {
+        engine.behave_normally();
+        engine.behave(behaviours.iter().copied());
+    }
+}
+
+async fn send(site: &PlatformSite, gateway: usize, headers: &[(&str, &str)]) -> Answer {
+    let mut all = vec![
+        ("x-session-id", "line"),
+        ("x-token-budget", "100000"),
+        ("x-token-usage", "100,50"),
+        ("x-deadline-ms", "3000"),
+    ];
+    all.extend_from_slice(headers);
+    let path = "/stream/resumable/a";
+    let answer = site.send_raw(gateway, "POST", path, &all, "in;").await;
+    answer.expect("an answer")
+}
+
+/// Sends a stream that breaks off, and that no server goes on with.
+async fn broken_stream(site: &PlatformSite, program: &str) -> Broken {
+    behave(site, &[Behaviour::BreakOff(2); 3]);
+    let (answer, broken) = stream(site, program).await;
+    assert!(answer.status == 200 && !answer.whole, "{answer:?}");
+    broken
+}
+
+/// Sends a stream from its beginning.
+async fn stream(site: &PlatformSite, program: &str) -> (Answer, Broken) {
+    let attempt = site.attempt();
+    let headers = [("x-attempt-id", &*attempt), ("x-program-id", program)];
+    let answer = send(site, 0, &headers).await;
+    let broken = Broken {
+        program: program.to_owned(),
+        text: answer.text(),
+        attempt,
+    };
+    (answer, broken)
+}
+
+fn events(text: &str) -> u64 {
+    text.matches("\n\n").count() as u64
+}
+
+/// Takes a stream up as its caller does.
+async fn take_up(site: &PlatformSite, gateway: usize, broken: &Broken) -> Answer {
+    let (attempt, last) = (site.attempt(), events(&broken.text).to_string());
+    let headers = [
+        ("x-attempt-id", &*attempt),
+        ("x-program-id", &*broken.program),
+        ("last-event-id", &*last),
+        ("resumes", &*broken.attempt),
+    ];
+    send(site, gateway, &headers).await
+}
+
+/// Returns how many servers ran an attempt.
+fn servers_of(site: &PlatformSite, attempt: &str) -> usize {
+    let engines = site.engines.iter();
+    let ran = engines.filter(|engine| engine.runs().iter().any(|run| run.attempt == attempt));
+    ran.count()
+}
+
+fn runs(site: &PlatformSite) -> usize {
+    site.engines.iter().map(|engine| engine.runs().len()).sum()
+}
+
+// Guards against a stream that goes on at a server of another version within its
+// answer.
+#[test]
+fn a_stream_that_breaks_off_goes_on_at_a_server_of_its_version() {
+    smol::block_on(async {
+        let site = site().await;
+
+        for number in 0..STREAMS {
+            // Each server gives two events, and does not take its own stream again.
+            behave(&site, &[Behaviour::CutAfter(2), Behaviour::LoseAnswer]);
+            let (_, broken) = stream(&site, &format!("program-{number}")).await;
+
+            assert_eq!(versions(&broken.text).len(), 1, "{broken:?}");
+            assert_eq!(servers_of(&site, &broken.attempt), 2, "{broken:?}");
+        }
+    });
+}
+
+// Guards against a stream that its caller takes up at another gateway and that
+// goes on at a server of another version.
+#[test]
+fn a_stream_taken_up_after_a_loss_of_power_goes_on_at_its_version() {
+    smol::block_on(async {
+        let mut site = site().await;
+        let mut streams = Vec::new();
+        for number in 0..STREAMS {
+            streams.push(broken_stream(&site, &format!("program-{number}")).await);
+        }
+        behave(&site, &[]);
+
+        for node in ["gateway-0", "gateway-1", "keeper-0", "keeper-1", "keeper-2"] {
+            site.process(node).kill();
+        }
+        (0..3).for_each(|number| site.start_keeper(number));
+        (0..2).for_each(|number| site.start_gateway(number));
+        site.wait_ready().await;
+        wait_for_engines(&site, 4).await;
+
+        for broken in &streams {
+            let answer = take_up(&site, 1, broken).await;
+
+            let text = broken.text.clone() + &answer.text();
+            assert!(answer.status == 200 && answer.whole, "{answer:?}");
+            assert_eq!(versions(&text).len(), 1, "{text}");
+            assert_eq!(events(&text), EVENTS, "{text}");
+        }
+    });
+}
+
+// Guards against a stream that goes on at another version because none of its
+// own serves any more.
+#[test]
+fn a_stream_whose_version_has_left_is_refused_at_once() {
+    smol::block_on(async {
+        let site = site().await;
+        let broken = broken_stream(&site, "program").await;
+        behave(&site, &[]);
+        let left = versions(&broken.text);
+        for number in 0..site.engines.len() {
+            let version = if number < 2 {
+                FIRST_VERSION
+            } else {
+                SECOND_VERSION
+            };
+            if left.contains(version) {
+                site.set_state(&format!("engine-{number}"), "draining");
+            }
+        }
+        wait_for_engines(&site, 2).await;
+        let before = runs(&site);
+
+        let answer = take_up(&site, 1, &broken).await;
+
+        assert_eq!(answer.status, 503, "{answer:?}");
+        assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+        assert_eq!(runs(&site), before);
+    });
+}
--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -1,6 +1,7 @@
 //! Fake of a backend server of the users' platform: a plain service or an engine
 //! that streams, with the faults that the platform specifies.
 
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -43,6 +44,9 @@
     Slowly,
     /// Answers, and aborts the stream after this number of events.
     CutAfter(u64),
+    /// Aborts a stream from its beginning after this number of events, and loses the
+    /// answer of one that is resumed.
+    BreakOff(u64),
     /// Executes the request, and closes the connection instead of answering.
     LoseAnswer,
     /// Executes the request and never answers.
@@ -79,6 +83,8 @@
 struct State {
     next: VecDeque<Behaviour>,
     runs: Vec<Run>,
+    /// Version of its software, which its events name; `None` if they name none.
+    version: Option<&'static str>,
 }
 
 /// The fake server; clones share their state.
@@ -128,6 +134,16 @@
         self.lock().next.extend(behaviours);
     }
 
+    /// Drops the behaviours that are queued.
+    pub fn behave_normally(&self) {
+        self.lock().next.clear();
+    }
+
+    /// Makes the server's events name the version of its software.
+    pub fn set_version(&self, version: &'static str) {
+        self.lock().version = Some(version);
+    }
+
     /// Returns the requests that the server executed, in their order.
     pub fn runs(&self) -> Vec<Run> {
         self.lock().runs.clone()
@@ -147,12 +163,15 @@
             _ => {}
         }
         let run = self.run(request).await;
+        let resumed = run.headers.contains_key("last-event-id");
         match behaviour {
             Behaviour::LoseAnswer => return Err(Cut),
+            Behaviour::BreakOff(_) if resumed => return Err(Cut),
             Behaviour::Hang => futures_lite::future::pending::<()>().await,
             _ => {}
         }
-        Ok(build_response(&run, behaviour))
+        let version = self.lock().version;
+        Ok(build_response(&run, behaviour, version))
     }
 
     async fn run(&self, request: Request<Incoming>) -> Run {
@@ -173,7 +192,11 @@
     }
 }
 
-fn build_response(run: &Run, behaviour: Behaviour) -> Response<Body> {
+fn build_response(
+    run: &Run,
+    behaviour: Behaviour,
+    version: Option<&'static str>,
+) -> Response<Body> {
     let attempt = match behaviour {
         Behaviour::Crossed => "another",
         _ => &run.attempt,
@@ -192,7 +215,7 @@
     }
     let body = if run.path.starts_with("/stream/") {
         response = response.header("content-type", "text/event-stream");
-        stream(run, behaviour)
+        stream(run, behaviour, version)
     } else {
         whole(format!("answer to {}", run.path))
     };
@@ -200,14 +223,15 @@
 }
 
 /// Builds the stream from the event after `Last-Event-ID`. Each event depends only
-/// on its number, so that a stream resumed at another server has the same content.
-fn stream(run: &Run, behaviour: Behaviour) -> Body {
+/// on its number and the server's version, so that a stream resumed at another
+/// server of that version has the same content.
+fn stream(run: &Run, behaviour: Behaviour, version: Option<&'static str>) -> Body {
     let last = run.headers.get("last-event-id");
     let last: u64 = last
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .unwrap_or(0);
     let abort_at = match behaviour {
-        Behaviour::CutAfter(events) => last + events,
+        Behaviour::CutAfter(events) | Behaviour::BreakOff(events) => last + events,
         _ => EVENTS,
     };
     let interval = match behaviour {
@@ -223,7 +247,8 @@
         }
         smol::Timer::after(interval).await;
         let number = number + 1;
-        let event = format!("id: {number}\ndata: word {number}\n\n");
+        let by = version.map_or_else(String::new, |version| format!(" of {version}"));
+        let event = format!("id: {number}\ndata: word {number}{by}\n\n");
         Some((Ok(Frame::data(Bytes::from(event))), number))
     });
     StreamBody::new(frames).boxed_unsync()
@@ -236,6 +261,13 @@
         .collect()
 }
 
+/// Returns the versions that the events of a stream name.
+pub fn versions(stream: &str) -> BTreeSet<String> {
+    let events = stream.lines().filter(|line| line.starts_with("data:"));
+    let named = events.filter_map(|line| line.rsplit_once(" of "));
+    named.map(|(_, version)| version.to_owned()).collect()
+}
+
 /// Returns what a turn with a complete stream adds to the history.
 pub fn whole_output() -> String {
     (1..=EVENTS)
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -41,6 +41,8 @@
 const KEY: &str = "a key for the tests of a site";
 /// Host name of all routes.
 pub const HOST: &str = "agents.example";
+/// Version of the servers that a site starts with.
+pub const FIRST_VERSION: &str = "v1";
 /// Longest wait until the site is ready or another awaited condition holds; a test
 /// that needs longer fails.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
@@ -465,10 +467,14 @@
     }
 
     async fn add_engine(&mut self) {
+        self.add_engine_of(FIRST_VERSION).await;
+    }
+
+    /// Adds an engine whose software has this version.
+    pub async fn add_engine_of(&mut self, version: &'static str) {
         let server = StandInServer::default();
-        let number = self.engines.len();
-        self.register(&server, "engine", &format!("engine-{number}"))
-            .await;
+        let id = format!("engine-{}", self.engines.len());
+        self.register(&server, "engine", &id, version).await;
         self.engines.push(server);
     }
 
@@ -476,12 +482,12 @@
     pub async fn add_plain(&mut self) {
         let server = StandInServer::default();
         let number = self.plain.len();
-        self.register(&server, "plain", &format!("plain-{number}"))
-            .await;
+        let id = format!("plain-{number}");
+        self.register(&server, "plain", &id, FIRST_VERSION).await;
         self.plain.push(server);
     }
 
-    async fn register(&mut self, server: &StandInServer, service: &str, id: &str) {
+    async fn register(&mut self, server: &StandInServer, service: &str, id: &str, version: &str) {
         let mut address = server.start().await;
         if self.has_proxies {
             let proxy = Wire::to(address).await;
@@ -489,7 +495,7 @@
             self.wires.servers.push(proxy);
         }
         let entry = json!({"Service": service, "Address": address.to_string(), "Zone": "here",
-                           "Version": "v1", "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Seq": 1});
+                           "Version": version, "Slots": 8, "State": "ready", "ColdLeftMs": 0, "Seq": 1});
         self.store.put(&format!("servers/{id}"), &entry);
     }
 
