net: fields that only one end's build has are ignored, or read as zeros

Both ends of a link run different builds during a roll, and a keeper reads what its earlier build wrote.

bincode reads a value from the front of a frame and ignores what follows, so a build that does not know a field at the end ignores it. One that misses it found the frame too short; it now reads zeros there.

--- a/net/src/frames.rs
+++ b/net/src/frames.rs
@@ -1,13 +1,16 @@
 //! Records in a file: size, checksum, then the record. One that is torn was
 //! never acknowledged.
 
+use bincode::error::DecodeError;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
 /// Bytes of the size and of the checksum before each record.
 const HEAD: usize = 8;
-/// Largest record.
-const MAX_RECORD: usize = 64 << 20;
+/// Largest record or message.
+pub const MAX_RECORD: usize = 64 << 20;
+/// Bytes of the fields that may be missing at the end of a value.
+const MAX_MISSING: usize = 8;
 
 /// Appends a record to `bytes`.
 ///
@@ -38,7 +41,24 @@
     if crc32fast::hash(body) != sum {
         return None;
     }
+    Some((decode(body).ok()?, HEAD + size))
+}
+
+/// Decodes a value of a file or a message. Fields that the writer's build does not
+/// have are missing at its end, and are read as zeros; those that only the writer's
+/// build has are ignored.
+///
+/// # Errors
+///
+/// Returns what is wrong with bytes that are no such value.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, DecodeError> {
     let config = bincode::config::standard().with_limit::<MAX_RECORD>();
-    let (record, _) = bincode::serde::decode_from_slice(body, config).ok()?;
-    Some((record, HEAD + size))
+    let decoded = match bincode::serde::decode_from_slice(bytes, config) {
+        Err(DecodeError::UnexpectedEnd { .. }) => {
+            let padded = [bytes, &[0; MAX_MISSING]].concat();
+            bincode::serde::decode_from_slice(&padded, config)
+        }
+        decoded => decoded,
+    };
+    decoded.map(|(value, _)| value)
 }
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -14,7 +14,7 @@
 pub mod flow;
 mod flushed;
 pub mod follow;
-mod frames;
+pub mod frames;
 pub mod gateway;
 pub mod gateway_settings;
 pub mod handoff;
--- a/net/src/peer.rs
+++ b/net/src/peer.rs
@@ -29,11 +29,12 @@
 use thiserror::Error;
 use tokio_util::compat::FuturesAsyncReadCompatExt as _;
 
+use crate::frames;
 use crate::sockets::Stream;
 use crate::timeout::within;
 
 /// Largest frame.
-const MAX_FRAME: usize = 64 << 20;
+const MAX_FRAME: usize = frames::MAX_RECORD;
 /// Messages that wait for one link; above it the link is given up.
 pub const MAX_WAITING: usize = 65_536;
 /// Bytes under way before the other end has read them.
@@ -120,30 +121,13 @@
     }
 }
 
-/// What processes said first that do not say which messages they understand.
-#[derive(Deserialize)]
-struct FirstHello {
-    node: NodeId,
-    boot: Boot,
-    key: Digest,
-}
-
 /// Decodes the first frame of a link.
 ///
 /// # Errors
 ///
 /// Returns a [`LinkError`] if it is no hello.
 pub fn decode_hello(frame: &[u8]) -> Result<Hello, LinkError> {
-    if let Ok(hello) = decode::<Hello>(frame) {
-        return Ok(hello);
-    }
-    let FirstHello { node, boot, key } = decode(frame)?;
-    Ok(Hello {
-        node,
-        boot,
-        key,
-        dialect: 0,
-    })
+    decode(frame)
 }
 
 /// A message that a link carries.
@@ -389,10 +373,7 @@
 }
 
 fn decode<T: for<'de> Deserialize<'de>>(frame: &[u8]) -> Result<T, LinkError> {
-    let config = bincode::config::standard().with_limit::<MAX_FRAME>();
-    bincode::serde::decode_from_slice(frame, config)
-        .map(|(value, _)| value)
-        .map_err(|error| LinkError::Frame(error.to_string()))
+    frames::decode(frame).map_err(|error| LinkError::Frame(error.to_string()))
 }
 
 struct FrameReader {
