--- a/lib/src/call.rs
+++ b/lib/src/call.rs
@@ -46,6 +46,11 @@
 impl Call {
     /// Maximum length of an id in bytes; ids are stored for each turn.
     pub const MAX_ID: usize = 64;
+
+    /// Returns whether it continues a stream of an earlier attempt.
+    pub fn continues_stream(&self) -> bool {
+        self.last_event.is_some() || self.resumes.is_some()
+    }
 }
 
 /// The program of a call.
--- a/lib/src/criteria.rs
+++ b/lib/src/criteria.rs
@@ -3,6 +3,8 @@
 use slotmap::new_key_type;
 
 use crate::call::Part;
+use crate::server::Server;
+use crate::stream_origin::StreamOrigin;
 
 new_key_type! {
     /// Identifies one start of a server among those known to a process.
@@ -24,6 +26,8 @@
     pub object: Option<&'a str>,
     /// Servers that were tried and must not be tried again.
     pub tried: &'a [ServerKey],
+    /// Origin of the stream that the request continues, if it does.
+    pub origin: Option<&'a StreamOrigin>,
     /// The gateway's idle connections, if it keeps any.
     pub idle_connections: Option<&'a dyn IdleConnections>,
     /// The gateway's data centre.
@@ -31,3 +35,10 @@
     /// A random number from 0 up to 1 that breaks ties.
     pub draw: f64,
 }
+
+impl Criteria<'_> {
+    /// Returns whether a server may serve the request by its version.
+    pub fn allows(&self, server: &Server) -> bool {
+        self.origin.is_none_or(|origin| origin.allows(server))
+    }
+}
--- a/lib/src/fleet.rs
+++ b/lib/src/fleet.rs
@@ -27,6 +27,7 @@
 use crate::service_time::RequestConditions;
 use crate::service_time::ServiceTime;
 use crate::service_time::Span;
+use crate::stream_origin::StreamOrigin;
 use crate::switches::Switches;
 use crate::time::Time;
 
@@ -287,6 +288,9 @@
                 continue;
             }
             let member = &self.members[key];
+            if !criteria.allows(&member.server) {
+                continue;
+            }
             let paused = member.is_paused(now) || eject && member.is_ejected(now, times);
             let pace = pace_context.map_or(1.0, |context| {
                 member.pace(now, &context) * member.pace.reported_factor(now)
@@ -299,6 +303,25 @@
         best.map(|(_, _, key)| key)
     }
 
+    /// Returns the origin that a new stream will most probably have: that of the
+    /// server that it would be sent to now.
+    pub fn expected_origin(
+        &self,
+        now: Time,
+        service: &str,
+        criteria: &Criteria<'_>,
+    ) -> Option<StreamOrigin> {
+        let keys = self.services.get(service)?;
+        let ready = keys.iter().filter(|&&key| self.is_ready(key));
+        let mut ready = ready.map(|&key| &self.members[key].server);
+        let first = ready.next()?;
+        if ready.all(|server| server.version == first.version) {
+            return Some(StreamOrigin::of(first));
+        }
+        let key = self.pick(now, service, criteria)?;
+        self.server(key).map(StreamOrigin::of)
+    }
+
     /// Returns whether outliers may be ejected. If most servers look like
     /// outliers, the cause is probably not the servers.
     fn may_eject(&self, now: Time, keys: &[ServerKey], times: &ServiceTime) -> bool {
--- a/lib/src/keeper_protocol.rs
+++ b/lib/src/keeper_protocol.rs
@@ -1,4 +1,8 @@
 //! Messages between gateways and keepers, and between keepers.
+//!
+//! Builds of both ends may differ. A field is added only at the end of a message,
+//! and its type has a zero that means that it is absent: a build that does not
+//! know the field ignores its bytes, and one that misses it reads zeros.
 
 use std::sync::Arc;
 
@@ -14,11 +18,15 @@
 use crate::ledger::Presence;
 use crate::ledger::ProgramDigest;
 use crate::ledger::Record;
+use crate::ledger::TurnOrigin;
 use crate::load_report::LoadReport;
 use crate::load_report::LoadSummary;
 use crate::membership::ListRequest;
 use crate::membership::Membership;
 use crate::place::Place;
+use crate::stream_origin::Continuation;
+use crate::stream_origin::OriginView;
+use crate::stream_origin::RecordedOrigin;
 use crate::turn_admission::ReplicaView;
 
 /// Matches replies to requests on one link.
@@ -70,6 +78,10 @@
         chain: bool,
         /// Epoch of the list by which the keeper was chosen.
         epoch: u64,
+        /// Origin of the turn's stream, to be recorded with it.
+        origin: Option<RecordedOrigin>,
+        /// The stream that the turn continues.
+        continuation: Continuation,
     },
     /// Return the current view of a program, excluding one turn.
     Look {
@@ -88,6 +100,8 @@
         place: Option<Place>,
         /// Epoch of the list by which the keeper was chosen.
         epoch: u64,
+        /// Origin of the turn's stream, beside the start of the turn.
+        origin: Option<RecordedOrigin>,
     },
     /// Return a turn and its predecessors.
     Chain {
@@ -151,6 +165,8 @@
         chain: Vec<ChainLink>,
         /// Servers that cache the program's prompts, the latest last.
         places: Vec<Place>,
+        /// What is recorded of the stream that the turn continues.
+        origin: OriginView,
     },
     /// The current view of the program.
     Seen(ReplicaView),
@@ -179,6 +195,8 @@
         records: Vec<Record>,
         /// Number of programs that the records belong to.
         programs: usize,
+        /// Origins of the turns' streams.
+        origins: Vec<TurnOrigin>,
     },
     /// The keeper's copy of the platform's store.
     Snapshot {
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -13,6 +13,9 @@
 use crate::hash;
 use crate::place::Place;
 use crate::place::Places;
+use crate::stream_origin::Continuation;
+use crate::stream_origin::OriginView;
+use crate::stream_origin::RecordedOrigin;
 use crate::time::Time;
 
 /// The start of a turn, recorded before it runs.
@@ -64,6 +67,14 @@
         }
     }
 
+    /// Returns the id of the turn that the record belongs to.
+    pub fn turn(&self) -> &Arc<str> {
+        match self {
+            Self::Begin(begin) => &begin.turn,
+            Self::Finish(finish) => &finish.turn,
+        }
+    }
+
     /// Returns the number of bytes of input or output, for limits on memory.
     pub fn size(&self) -> usize {
         match self {
@@ -73,6 +84,36 @@
     }
 }
 
+/// A record as it is stored on disk.
+///
+/// The origin is encoded behind the record: builds that know no origins read the
+/// record and ignore what follows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StoredRecord {
+    /// The record.
+    pub record: Record,
+    /// Origin of the turn's stream, beside the start of the turn.
+    pub origin: Option<RecordedOrigin>,
+}
+
+impl From<Record> for StoredRecord {
+    fn from(record: Record) -> Self {
+        Self {
+            record,
+            origin: None,
+        }
+    }
+}
+
+/// The origin of one turn's stream.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TurnOrigin {
+    /// Id of the turn.
+    pub turn: Arc<str>,
+    /// The origin.
+    pub recorded: RecordedOrigin,
+}
+
 /// Tokens that one turn charges to its program's budget.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TurnUsage {
@@ -113,8 +154,8 @@
 pub struct ProgramDigest {
     /// Id of the program.
     pub program: Arc<str>,
-    /// Equal for equal sets of recorded starts and ends of turns, independent
-    /// of their order.
+    /// Equal for equal sets of recorded starts, ends and origins of turns,
+    /// independent of their order.
     pub digest: u64,
 }
 
@@ -123,9 +164,31 @@
     program: Arc<str>,
     begin: Option<Begin>,
     finish: Option<Finish>,
+    origin: Option<RecordedOrigin>,
 }
 
 impl Turn {
+    /// Applies an origin, and returns whether it replaces what was recorded.
+    fn record_origin(&mut self, recorded: RecordedOrigin) -> bool {
+        let known = self.origin.as_ref();
+        let new = known.is_none_or(|known| known.serial < recorded.serial);
+        if new {
+            self.origin = Some(recorded);
+        }
+        new
+    }
+
+    /// Returns whether it ended without an event.
+    fn is_empty(&self) -> bool {
+        let finish = self.finish.as_ref();
+        finish.is_some_and(|finish| finish.used == 0)
+    }
+
+    fn origin_view(&self) -> OriginView {
+        let origin = self.origin.clone();
+        origin.map_or(OriginView::Unknown, OriginView::Recorded)
+    }
+
     fn tokens(&self) -> u64 {
         let most = self.begin.as_ref().map_or(0, |begin| begin.most);
         self.finish.as_ref().map_or(most, |finish| finish.used)
@@ -163,10 +226,7 @@
     /// Applies a record and returns whether it was new; a duplicate changes
     /// nothing.
     pub fn apply(&mut self, now: Time, record: Record) -> bool {
-        let id = match &record {
-            Record::Begin(begin) => begin.turn.clone(),
-            Record::Finish(finish) => finish.turn.clone(),
-        };
+        let id = record.turn().clone();
         let name = record.program().clone();
         let size = record.size();
         let program = self.programs.entry(name.clone()).or_insert(ProgramTurns {
@@ -181,6 +241,7 @@
                 program: name,
                 begin: None,
                 finish: None,
+                origin: None,
             }
         });
         let new = match record {
@@ -193,6 +254,55 @@
         new
     }
 
+    /// Applies a record as it is stored, and returns whether something in it was
+    /// new.
+    pub fn apply_stored(&mut self, now: Time, stored: StoredRecord) -> bool {
+        let StoredRecord { record, origin } = stored;
+        let id = record.turn().clone();
+        let new = self.apply(now, record);
+        let turn = self.turns.get_mut(&id);
+        let (Some(turn), Some(origin)) = (turn, origin) else {
+            return new;
+        };
+        turn.record_origin(origin) || new
+    }
+
+    /// Returns what is recorded of the stream that the turn `excluded` of a
+    /// program continues.
+    pub fn origin(&self, program: &str, excluded: &str, continuation: &Continuation) -> OriginView {
+        match continuation {
+            Continuation::None => OriginView::Unknown,
+            Continuation::Attempt(id) => {
+                let turn = self.turns.get(id).filter(|turn| &*turn.program == program);
+                turn.map_or(OriginView::Absent, Turn::origin_view)
+            }
+            Continuation::Unnamed => self.only_origin(program, excluded),
+        }
+    }
+
+    /// Returns the origin that all streams of a program have, except the turn
+    /// `excluded` and turns that ended without an event.
+    fn only_origin(&self, program: &str, excluded: &str) -> OriginView {
+        let program = self.programs.get(program);
+        let turns = program.into_iter().flat_map(|program| &program.turns);
+        let mut found = OriginView::Absent;
+        let others = turns.filter(|id| &***id != excluded);
+        let others = others.map(|id| &self.turns[id]);
+        for turn in others.filter(|turn| !turn.is_empty()) {
+            let view = turn.origin_view();
+            match (&found, &view) {
+                (_, OriginView::Unknown | OriginView::Absent) => return OriginView::Unknown,
+                (OriginView::Recorded(one), OriginView::Recorded(other))
+                    if one.origin != other.origin =>
+                {
+                    return OriginView::Unknown;
+                }
+                _ => found = view,
+            }
+        }
+        found
+    }
+
     /// Returns the tokens that each turn of a program charges to its budget,
     /// except those of the turn `excluded`.
     pub fn usage(&self, program: &str, excluded: &str) -> Vec<TurnUsage> {
@@ -309,6 +419,24 @@
         records
     }
 
+    /// Returns all records of a program as they are stored.
+    pub fn stored(&self, program: &str) -> Vec<StoredRecord> {
+        let origins = self.origins(program);
+        with_origins(self.records(program), origins)
+    }
+
+    /// Returns the origins of a program's streams.
+    pub fn origins(&self, program: &str) -> Vec<TurnOrigin> {
+        let turns = self.programs.get(program).map(|program| &program.turns);
+        let turns = turns.into_iter().flatten();
+        let origins = turns.filter_map(|id| {
+            let recorded = self.turns[id].origin.clone()?;
+            let turn = id.clone();
+            Some(TurnOrigin { turn, recorded })
+        });
+        origins.collect()
+    }
+
     /// Returns the digest of a program's records, zero if there are none.
     pub fn digest(&self, program: &str) -> u64 {
         let turns = self.programs.get(program).map(|program| &program.turns);
@@ -316,7 +444,9 @@
             let turn = &self.turns[id];
             let begun = u64::from(turn.begin.is_some());
             let ended = u64::from(turn.finish.is_some());
-            let state = begun + 2 * ended;
+            let origins = turn.origin.as_ref();
+            let origins = origins.map_or(0, |last| u64::from(last.serial) + 1);
+            let state = begun + 2 * ended + 4 * origins;
             hash::mixed_fnv(id.bytes()).wrapping_mul(2 * state + 1)
         });
         each.fold(0, u64::wrapping_add)
@@ -356,6 +486,22 @@
     }
 }
 
+/// Joins records with the origins of their turns' streams.
+pub fn with_origins(records: Vec<Record>, origins: Vec<TurnOrigin>) -> Vec<StoredRecord> {
+    let origins = origins.into_iter();
+    let mut origins: HashMap<Arc<str>, RecordedOrigin> = origins
+        .map(|origin| (origin.turn, origin.recorded))
+        .collect();
+    let stored = records.into_iter().map(|record| {
+        let origin = match &record {
+            Record::Begin(begin) => origins.remove(&begin.turn),
+            Record::Finish(_) => None,
+        };
+        StoredRecord { record, origin }
+    });
+    stored.collect()
+}
+
 fn set_if_none<T>(slot: &mut Option<T>, value: T) -> bool {
     let new = slot.is_none();
     slot.get_or_insert(value);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod speed;
 pub mod sse;
 pub mod store_watch;
+pub mod stream_origin;
 pub mod switches;
 mod takeover;
 pub mod time;
--- a/lib/src/server.rs
+++ b/lib/src/server.rs
@@ -57,14 +57,15 @@
 
     /// Returns whether this describes the same start as the previously known
     /// `other`. A server that gives its start time gives it for as long as it
-    /// runs; one that does not keeps its address for as long.
+    /// runs; one that does not keeps its address for as long. Its software changes
+    /// only with a restart.
     pub(crate) fn is_same_start(&self, other: &Self) -> bool {
         let same = match (self.started_at, other.started_at) {
             (Some(own), Some(other)) => own == other,
             (Some(_), None) => false,
             (None, _) => self.address == other.address,
         };
-        same && self.service == other.service
+        same && self.service == other.service && self.version == other.version
     }
 }
 
--- a/lib/src/turn_admission.rs
+++ b/lib/src/turn_admission.rs
@@ -23,6 +23,10 @@
 use crate::ledger::Presence;
 use crate::ledger::TurnUsage;
 use crate::membership::Replicas;
+use crate::stream_origin::Continuation;
+use crate::stream_origin::OriginView;
+use crate::stream_origin::StreamOrigin;
+use crate::stream_origin::agreed_origin;
 
 /// A replica's view of a program.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -38,8 +42,9 @@
 /// An event at a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReplicaEvent {
-    /// It recorded the turn, and answered the first query.
-    Noted(ReplicaView),
+    /// It recorded the turn, and answered the first query. The second value is what
+    /// it has recorded of the stream that the turn continues.
+    Noted(ReplicaView, OriginView),
     /// It answered the second query, which is sent after a majority has recorded
     /// the turn.
     Seen(ReplicaView),
@@ -65,6 +70,7 @@
 #[derive(Clone, Debug, Default)]
 struct Answers {
     noted: Option<ReplicaView>,
+    origin: OriginView,
     seen: Option<ReplicaView>,
     synced: bool,
 }
@@ -76,6 +82,7 @@
     replies: HashMap<usize, Answers>,
     budget: Option<u64>,
     most: u64,
+    continuation: Continuation,
     second_query: bool,
 }
 
@@ -88,10 +95,18 @@
             replicas,
             budget,
             most,
+            continuation: Continuation::None,
             second_query: false,
         }
     }
 
+    /// Sets the stream that the turn continues. It starts only when a majority of
+    /// replicas that have lost nothing has answered what they recorded of it.
+    pub fn with_continuation(mut self, continuation: Continuation) -> Self {
+        self.continuation = continuation;
+        self
+    }
+
     /// Returns the replicas.
     pub fn replicas(&self) -> &Replicas {
         &self.replicas
@@ -101,7 +116,10 @@
     pub fn step(&mut self, at: usize, step: ReplicaEvent) -> NextAction {
         if let Some(answers) = self.replies.get_mut(&at) {
             match step {
-                ReplicaEvent::Noted(view) => answers.noted = Some(view),
+                ReplicaEvent::Noted(view, origin) => {
+                    answers.noted = Some(view);
+                    answers.origin = origin;
+                }
                 ReplicaEvent::Seen(view) => answers.seen = Some(view),
                 ReplicaEvent::Synced => answers.synced = true,
                 ReplicaEvent::Lost => *answers = Answers::default(),
@@ -112,7 +130,15 @@
 
     fn next_action(&mut self) -> NextAction {
         let Some(budget) = self.budget else {
-            let noted = |at| self.replies[&at].noted.is_some();
+            let certain = self.continuation != Continuation::None;
+            let noted = |at| {
+                let noted = &self.replies[&at].noted;
+                if certain {
+                    is_complete(noted)
+                } else {
+                    noted.is_some()
+                }
+            };
             return if self.replicas.majority(noted) {
                 NextAction::Go
             } else {
@@ -183,6 +209,15 @@
         })
     }
 
+    /// Returns the origin of the stream that the turn continues, by the answers of
+    /// the replicas that have lost nothing; `None` if they do not tell.
+    pub fn origin(&self) -> Option<StreamOrigin> {
+        let replies = self.replies.values();
+        let complete = replies.filter(|answers| is_complete(&answers.noted));
+        let views = complete.map(|answers| &answers.origin);
+        agreed_origin(&self.continuation, views)
+    }
+
     /// Returns whether at least one replica stores the previous turn.
     pub fn previous_is_here(&self) -> bool {
         let mut replies = self.replies.values();
--- a/lib/tests/opening.rs
+++ b/lib/tests/opening.rs
@@ -7,6 +7,7 @@
 use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::ledger::TurnUsage;
 use limpetferry_lib::membership::Membership;
+use limpetferry_lib::stream_origin::OriginView;
 use limpetferry_lib::turn_admission::NextAction;
 use limpetferry_lib::turn_admission::ReplicaEvent;
 use limpetferry_lib::turn_admission::ReplicaView;
@@ -39,7 +40,7 @@
 }
 
 fn noted(others: &[&str]) -> ReplicaEvent {
-    ReplicaEvent::Noted(view(others))
+    ReplicaEvent::Noted(view(others), OriginView::Unknown)
 }
 
 #[test]
@@ -119,7 +120,7 @@
     let mut turn = opening();
     let mut lacking = view(&[]);
     lacking.whole = false;
-    turn.step(0, ReplicaEvent::Noted(lacking));
+    turn.step(0, ReplicaEvent::Noted(lacking, OriginView::Unknown));
 
     let two = turn.step(1, noted(&[]));
     let three = turn.step(2, noted(&[]));
@@ -136,7 +137,7 @@
     ended.shares[0].ended = true;
     turn.step(0, noted(&["other"]));
 
-    let verdict = turn.step(1, ReplicaEvent::Noted(ended));
+    let verdict = turn.step(1, ReplicaEvent::Noted(ended, OriginView::Unknown));
 
     assert_matches!(verdict, NextAction::Go);
 }
--- a/lib/tests/turn_world/mod.rs
+++ b/lib/tests/turn_world/mod.rs
@@ -15,6 +15,7 @@
 use limpetferry_lib::ledger::Record;
 use limpetferry_lib::membership::MemberState;
 use limpetferry_lib::membership::Membership;
+use limpetferry_lib::stream_origin::OriginView;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::turn_admission::NextAction;
 use limpetferry_lib::turn_admission::ReplicaEvent;
@@ -438,7 +439,7 @@
         let step = match envelope.body {
             Body::Noted(view) => {
                 turn.noted.insert(envelope.node.clone());
-                ReplicaEvent::Noted(view)
+                ReplicaEvent::Noted(view, OriginView::Unknown)
             }
             Body::Seen(view) => ReplicaEvent::Seen(view),
             Body::Synced => ReplicaEvent::Synced,
@@ -466,7 +467,7 @@
         if turn.phase == Phase::Ending || turn.phase == Phase::Over {
             return Ok(());
         }
-        let late = turn.second_query && matches!(step, ReplicaEvent::Noted(_));
+        let late = turn.second_query && matches!(step, ReplicaEvent::Noted(..));
         match turn.opening.step(at, step) {
             NextAction::Ask => {
                 turn.second_query = true;
--- /dev/null
+++ b/lib/tests/versions.rs
@@ -0,0 +1,120 @@
+//! Checks over random interleavings of releases, crashes, lost gateways and lost
+//! keepers that no stream holds events of two versions of its servers, and that
+//! streams that callers take up go on.
+
+mod version_world;
+
+use limpetferry_lib::server_version::ServerVersion;
+use limpetferry_lib::stream_origin::Continuation;
+use limpetferry_lib::stream_origin::OriginView;
+use limpetferry_lib::stream_origin::RecordedOrigin;
+use limpetferry_lib::stream_origin::StreamBinding;
+use limpetferry_lib::stream_origin::StreamOrigin;
+use limpetferry_lib::stream_origin::agreed_origin;
+use version_world::Counts;
+use version_world::VersionWorld;
+
+/// Number of seeds in CI; `LIMPETFERRY_RUNS` sets another number.
+const SEEDS: u64 = 300;
+/// Events of one run.
+const STEPS: usize = 3_000;
+
+fn number(name: &str, default: u64) -> u64 {
+    let value = std::env::var(name).ok();
+    value.and_then(|text| text.parse().ok()).unwrap_or(default)
+}
+
+// Guards against a stream that goes on at another version than the one that began
+// it, and against refusing streams that could go on.
+#[test]
+fn no_stream_holds_events_of_two_versions_and_those_taken_up_go_on() {
+    let first = number("LIMPETFERRY_SEED", 1);
+    let mut counts = Counts::default();
+
+    for seed in first..first + number("LIMPETFERRY_RUNS", SEEDS) {
+        let mut world = VersionWorld::new(seed);
+        for step in 0..STEPS {
+            let checked = world.step();
+            checked.unwrap_or_else(|broken| panic!("seed {seed}, step {step}: {broken}"));
+        }
+        let checked = world.check_share();
+        checked.unwrap_or_else(|broken| panic!("seed {seed}: {broken}"));
+        counts.add(&world.counts);
+    }
+
+    println!("{counts:?}");
+    // The runs bring about what they are to check.
+    assert!(
+        counts.continued > 1_000 && counts.recorded_again > 1_000,
+        "{counts:?}"
+    );
+    assert!(
+        counts.taken_up.1 > 1_000 && counts.wiped > 1_000,
+        "{counts:?}"
+    );
+    assert!(counts.left > 1_000, "{counts:?}");
+}
+
+fn origin(version: &str) -> StreamOrigin {
+    StreamOrigin {
+        service: "engine".into(),
+        version: ServerVersion::new(version),
+    }
+}
+
+fn recorded(version: &str, serial: u32) -> OriginView {
+    let origin = origin(version);
+    OriginView::Recorded(RecordedOrigin { origin, serial })
+}
+
+// Guards against an earlier record of an attempt that one keeper still has.
+#[test]
+fn the_last_recorded_origin_of_an_attempt_holds() {
+    let views = [recorded("v1", 0), OriginView::Absent, recorded("v2", 1)];
+    let attempt = Continuation::Attempt("attempt".into());
+
+    assert_eq!(agreed_origin(&attempt, views.iter()), Some(origin("v2")));
+    assert_eq!(
+        agreed_origin(&attempt, views.iter().rev()),
+        Some(origin("v2"))
+    );
+}
+
+// Guards against a guess where a keeper of an older build has the attempt without
+// its origin.
+#[test]
+fn an_attempt_that_a_keeper_has_without_origin_has_none() {
+    let views = [recorded("v1", 0), OriginView::Unknown];
+    let attempt = Continuation::Attempt("attempt".into());
+
+    assert_eq!(agreed_origin(&attempt, views.iter()), None);
+    assert_eq!(agreed_origin(&attempt, [OriginView::Absent].iter()), None);
+}
+
+// Guards against a guess where a caller does not name the stream, and the streams
+// of its program have different origins.
+#[test]
+fn an_unnamed_stream_goes_on_only_where_all_of_its_program_began() {
+    let same = [recorded("v1", 0), recorded("v1", 3)];
+    let different = [recorded("v1", 0), recorded("v2", 3)];
+
+    let unnamed = Continuation::Unnamed;
+
+    assert_eq!(agreed_origin(&unnamed, same.iter()), Some(origin("v1")));
+    assert_eq!(agreed_origin(&unnamed, different.iter()), None);
+}
+
+// Guards against an event that is sent before its origin is recorded, where the
+// server that was chosen first did not begin the stream.
+#[test]
+fn an_origin_is_recorded_again_until_the_first_event() {
+    let mut binding = StreamBinding::begin(Some(origin("v1")));
+
+    let same = binding.expect(&origin("v1"));
+    let other = binding.expect(&origin("v2"));
+    binding.deliver(&origin("v2"));
+
+    assert_eq!(same, None);
+    assert_eq!(other.map(|other| other.serial), Some(1));
+    assert_eq!(binding.origin(), Some(&origin("v2")));
+}
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -16,9 +16,10 @@
 use limpetferry_lib::place::Place;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::server::ServerOutcome;
-use limpetferry_lib::server_version::ServerVersion;
 use limpetferry_lib::service_time::RequestConditions;
 use limpetferry_lib::service_time::Span;
+use limpetferry_lib::stream_origin::StreamBinding;
+use limpetferry_lib::stream_origin::StreamOrigin;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::urgency;
 use limpetferry_platform::header;
@@ -54,8 +55,8 @@
     pub key: ServerKey,
     /// Id of the server.
     pub server: Arc<str>,
-    /// Version of the server's software.
-    pub version: ServerVersion,
+    /// Origin of a stream that begins there.
+    pub origin: StreamOrigin,
     sender: Option<Sender>,
     keep: Option<Duration>,
     over: bool,
@@ -211,6 +212,33 @@
     }
 }
 
+/// Returns the refusal of a request that no server takes, of which `refusals` did
+/// not run it.
+fn no_server(progress: &Progress, refusals: usize) -> Refusal {
+    if progress.runs > 0 {
+        return Refusal::new(
+            StatusCode::BAD_GATEWAY,
+            "the server broke off, and no other one is there",
+        );
+    }
+    if refusals > 0 {
+        return Refusal::later(RETRY_FULL, "all servers are full; come back");
+    }
+    match progress.binding.origin() {
+        Some(origin) => Refusal::later(
+            RETRY_UNKNOWN,
+            format!(
+                "no server of version {} is there, where the stream began; come back, or begin it anew",
+                origin.version
+            ),
+        ),
+        None => Refusal::later(
+            RETRY_UNKNOWN,
+            "no server of the service is there; come back",
+        ),
+    }
+}
+
 /// The head of a server's answer, with its body still to be read.
 pub struct Started {
     /// Status and headers.
@@ -221,9 +249,44 @@
     pub lease: Lease,
 }
 
+/// How far a request has come at servers.
+#[derive(Default)]
+pub struct Progress {
+    /// Servers at which it is not tried again.
+    pub tried: Vec<ServerKey>,
+    /// Number of servers that may have run it.
+    pub runs: u32,
+    /// Last event that its caller was sent.
+    pub last_event: Option<u64>,
+    /// Servers that may serve its stream.
+    pub binding: StreamBinding,
+}
+
 impl Job {
-    fn wish<'a>(&'a self, tried: &'a [ServerKey]) -> Criteria<'a> {
+    /// Returns the origin that its stream will have if it is sent to a server now.
+    pub fn expected_origin(&self) -> Option<StreamOrigin> {
+        let known = self.gateway.site.known();
+        let fleet = &known.fleet;
+        fleet.expected_origin(self.now(), &self.service, &self.wish(&[], None))
+    }
+
+    /// Returns the origin that its stream will have if it is sent to a server now,
+    /// for as long as that is recorded.
+    pub fn next_origin(&self, binding: &StreamBinding) -> Option<StreamOrigin> {
+        let bound = binding.origin().cloned();
+        if bound.is_some() || binding.recorded().is_none() {
+            return bound;
+        }
+        self.expected_origin()
+    }
+
+    fn wish<'a>(
+        &'a self,
+        tried: &'a [ServerKey],
+        origin: Option<&'a StreamOrigin>,
+    ) -> Criteria<'a> {
         Criteria {
+            origin,
             parts: &self.call.parts,
             object: self.call.object.as_deref(),
             tried,
@@ -233,7 +296,7 @@
         }
     }
 
-    fn pick(&self, tried: &[ServerKey]) -> Option<Lease> {
+    fn pick(&self, progress: &Progress) -> Option<Lease> {
         let key = {
             // The fleet is locked before the connections, as where those of
             // servers that are gone are closed.
@@ -241,29 +304,34 @@
             let warm = self.gateway.pool.warm(self.now(), self.runs_once());
             let wish = Criteria {
                 idle_connections: Some(&warm),
-                ..self.wish(tried)
+                ..self.wish(&progress.tried, progress.binding.origin())
             };
             known.fleet.pick(self.now(), &self.service, &wish)?
         };
-        self.lease(key)
+        self.lease(key, &progress.binding)
     }
 
-    /// Notes that the request goes to a server; `None` if it takes none.
-    fn lease(&self, key: ServerKey) -> Option<Lease> {
+    /// Notes that the request goes to a server; `None` if the server takes none or
+    /// may not serve its stream.
+    fn lease(&self, key: ServerKey, binding: &StreamBinding) -> Option<Lease> {
         let mut known = self.gateway.site.known();
         if !known.fleet.is_ready(key) {
             return None;
         }
+        let wish = self.wish(&[], binding.origin());
         let server = known.fleet.server(key)?;
-        let (id, version) = (server.id.clone(), server.version.clone());
+        if !wish.allows(server) {
+            return None;
+        }
+        let (id, origin) = (server.id.clone(), StreamOrigin::of(server));
         let now = self.now();
-        let work = known.fleet.begin(now, key, &self.wish(&[]));
+        let work = known.fleet.begin(now, key, &wish);
         self.steps.expect(&work);
         Some(Lease {
             gateway: self.gateway.clone(),
             key,
             server: id,
-            version,
+            origin,
             sender: None,
             keep: None,
             over: false,
@@ -275,44 +343,27 @@
         })
     }
 
-    /// Sends the request to a server that answers, and returns the head of the
-    /// answer. `runs` counts the servers that may have run it.
+    /// Sends the request to a server that answers and may serve its stream, and
+    /// returns the head of the answer.
     ///
     /// # Errors
     ///
     /// Returns the refusal that the caller gets.
-    pub async fn start(
-        &self,
-        tried: &mut Vec<ServerKey>,
-        runs: &mut u32,
-        last_event: Option<u64>,
-    ) -> Result<Started, Refusal> {
+    pub async fn start(&self, progress: &mut Progress) -> Result<Started, Refusal> {
         let mut refusals = 0;
         let mut rounds = 0;
         loop {
             if self.left() < LEAST_LEFT {
-                return Err(late(*runs));
+                return Err(late(progress.runs));
             }
-            let permit = self.wait_for_room(*runs).await?;
-            let Some(mut lease) = self.pick(tried) else {
-                return Err(if *runs > 0 {
-                    Refusal::new(
-                        StatusCode::BAD_GATEWAY,
-                        "the server broke off, and no other one is there",
-                    )
-                } else if refusals > 0 {
-                    Refusal::later(RETRY_FULL, "all servers are full; come back")
-                } else {
-                    Refusal::later(
-                        RETRY_UNKNOWN,
-                        "no server of the service is there; come back",
-                    )
-                });
+            let permit = self.permit(progress).await?;
+            let Some(mut lease) = self.pick(progress) else {
+                return Err(no_server(progress, refusals));
             };
             let key = lease.key;
             lease.set_permit(permit);
-            let patience = self.patience(*runs);
-            let failure = match self.send(lease, last_event, patience).await {
+            let patience = self.patience(progress.runs);
+            let failure = match self.send(lease, progress.last_event, patience).await {
                 Ok(started) => {
                     if !started.head.status.is_server_error() {
                         self.gateway.earn_retry(&self.service);
@@ -324,9 +375,15 @@
             self.gateway
                 .attempt_failed(&self.call.attempt, key, &failure);
             if self.may_wait(&failure, &mut rounds) {
+                if progress.binding.origin().is_some() {
+                    // It is not in the queue, where it would wait behind streams that
+                    // any server may begin.
+                    smol::Timer::after(SAME_PAUSE).await;
+                }
                 continue;
             }
-            tried.push(key);
+            progress.tried.push(key);
+            let runs = &mut progress.runs;
             match failure {
                 Failure::NotSent(_) if *runs == 0 && !self.gateway.take_retry(&self.service) => {
                     return Err(Refusal::later(
@@ -348,6 +405,17 @@
         }
     }
 
+    /// Returns the right to be at a server, if requests wait for one. A stream that
+    /// continues does not wait: the queue grants room at any server.
+    async fn permit(&self, progress: &Progress) -> Result<Option<Permit>, Refusal> {
+        if progress.binding.origin().is_none() {
+            return self.wait_for_room(progress.runs).await;
+        }
+        let dispatch = &self.gateway.dispatch;
+        let on = dispatch.is_on();
+        Ok(on.then(|| dispatch.enter_now(&self.service)))
+    }
+
     /// Waits until a server has room, where servers refused for lack of it.
     async fn wait_for_room(&self, runs: u32) -> Result<Option<Permit>, Refusal> {
         let dispatch = &self.gateway.dispatch;
@@ -404,22 +472,22 @@
         known.fleet.silence(&self.service).min(left)
     }
 
-    /// Sends a stream that broke off to the same server, for what comes after
-    /// `last_event`. The route's attempts count servers, and a server that
+    /// Sends a stream that broke off to the same server, for what comes after the
+    /// last event. The route's attempts count servers, and a server that
     /// lives still has the prompt in its memory.
     ///
     /// # Errors
     ///
     /// Returns `None` if the server is gone or takes nothing, and the stream
     /// may go on at another one.
-    pub async fn start_again(&self, key: ServerKey, last_event: Option<u64>) -> Option<Started> {
+    pub async fn start_again(&self, key: ServerKey, progress: &Progress) -> Option<Started> {
         let mut tries = 0;
         while self.left() > LEAST_LEFT {
-            let mut lease = self.lease(key)?;
+            let mut lease = self.lease(key, &progress.binding)?;
             let dispatch = &self.gateway.dispatch;
             let on = dispatch.is_on();
             lease.set_permit(on.then(|| dispatch.enter_now(&self.service)));
-            match self.send(lease, last_event, self.left()).await {
+            match self.send(lease, progress.last_event, self.left()).await {
                 Ok(started) => return Some(started),
                 Err(failure) => {
                     self.gateway
--- a/net/src/disk.rs
+++ b/net/src/disk.rs
@@ -10,7 +10,7 @@
 use limpetferry_lib::keeper_protocol::KeeperReply;
 use limpetferry_lib::keeper_protocol::RequestId;
 use limpetferry_lib::keeper_protocol::Snapshot;
-use limpetferry_lib::ledger::Record;
+use limpetferry_lib::ledger::StoredRecord;
 
 use crate::log;
 use crate::segments::SegmentError;
@@ -27,7 +27,7 @@
     /// Put records on disk, and then say so.
     Keep {
         /// The records.
-        records: Vec<Record>,
+        records: Vec<StoredRecord>,
         /// Whom to tell.
         tell: Option<(async_channel::Sender<KeeperMessage>, RequestId)>,
     },
@@ -36,7 +36,7 @@
     /// Put what is known from the platform's store on disk.
     Site(Snapshot),
     /// Write these records anew in place of all that was written before.
-    Rewrite(Vec<Record>),
+    Rewrite(Vec<StoredRecord>),
 }
 
 /// Hands jobs to the thread.
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -11,16 +11,18 @@
 use http_body_util::StreamBody;
 use hyper::body::Frame;
 use hyper::body::Incoming;
-use limpetferry_lib::criteria::ServerKey;
 use limpetferry_lib::events::Event;
 use limpetferry_lib::events::Splitter;
 use limpetferry_lib::place::Place;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::server::ServerOutcome;
+use limpetferry_lib::stream_origin::StreamBinding;
+use limpetferry_lib::stream_origin::StreamOrigin;
 use limpetferry_platform::header;
 
 use crate::attempt::Failure;
 use crate::attempt::Lease;
+use crate::attempt::Progress;
 use crate::attempt::Started;
 use crate::http::Body;
 use crate::http::Cut;
@@ -37,12 +39,10 @@
 /// One stream.
 pub struct Flow {
     job: Arc<Job>,
-    tried: Vec<ServerKey>,
-    runs: u32,
+    progress: Progress,
     body: Incoming,
     lease: Option<Lease>,
     splitter: Splitter,
-    last_event: Option<u64>,
     events: u64,
     event_tokens: u64,
     kept: bool,
@@ -64,10 +64,22 @@
     /// # Errors
     ///
     /// Returns the refusal that the caller gets.
-    pub async fn start(job: Arc<Job>, turn: Option<OpenTurn>) -> Result<Response<Body>, Refusal> {
-        let mut tried = Vec::new();
-        let mut runs = 0;
-        let started = match job.start(&mut tried, &mut runs, None).await {
+    pub async fn start(
+        job: Arc<Job>,
+        mut turn: Option<OpenTurn>,
+        binding: StreamBinding,
+    ) -> Result<Response<Body>, Refusal> {
+        let mut progress = Progress {
+            binding,
+            ..Progress::default()
+        };
+        // The keepers may have said where the prompt is kept: the choice of a server,
+        // and so the origin, may have changed since the turn was opened. It is
+        // recorded while the server reads the prompt.
+        if let Some(origin) = job.next_origin(&progress.binding) {
+            record_origin(&mut turn, &mut progress.binding, &origin);
+        }
+        let started = match job.start(&mut progress).await {
             Ok(started) => started,
             Err(refusal) => {
                 withdraw(turn);
@@ -89,19 +101,20 @@
                 .and_then(|service| service.event_tokens)
                 .unwrap_or(USUAL_EVENT_TOKENS),
             kept: job.route.retention.is_some(),
-            tried,
-            runs,
+            progress,
             body: started.body,
             lease: Some(started.lease),
             splitter: Splitter::default(),
-            last_event: None,
             events: 0,
             output: BytesMut::new(),
             turn,
             job,
         };
         let first = match flow.next().await {
-            Ok(Next::Events(bytes)) => Some(bytes),
+            Ok(Next::Events(bytes)) => {
+                flow.bind();
+                Some(bytes)
+            }
             Ok(Next::End) => None,
             Err(refusal) => return Err(refusal),
         };
@@ -127,9 +140,19 @@
         })
     }
 
+    /// Binds the stream to the origin of its first event, which is recorded before
+    /// the event is sent to the caller.
+    fn bind(&mut self) {
+        if let Some(lease) = &self.lease {
+            let binding = &mut self.progress.binding;
+            record_origin(&mut self.turn, binding, &lease.origin);
+            binding.deliver(&lease.origin);
+        }
+    }
+
     /// Returns whether one server has run it from its beginning.
     fn is_fresh(&self) -> bool {
-        self.runs == 0 && self.job.call.last_event.is_none()
+        self.progress.runs == 0 && self.job.call.last_event.is_none()
     }
 
     /// Returns where the prompt is kept, while a server has the stream.
@@ -230,7 +253,7 @@
             return;
         };
         self.events += 1;
-        self.last_event = event.id.or(self.last_event);
+        self.progress.last_event = event.id.or(self.progress.last_event);
         if self.kept {
             self.output.extend_from_slice(data);
             self.output.extend_from_slice(b"\n");
@@ -249,7 +272,7 @@
         if matches!(failure, Failure::Late) {
             return Err(late(1));
         }
-        self.runs += 1;
+        self.progress.runs += 1;
         let Kind::Stream { resumable: true } = self.job.route.kind else {
             return Err(Refusal::new(
                 StatusCode::BAD_GATEWAY,
@@ -257,16 +280,15 @@
             ));
         };
         let job = self.job.clone();
-        let last = self.last_event;
         let again = match same {
-            Some(key) => job.start_again(key, last).await,
+            Some(key) => job.start_again(key, &self.progress).await,
             None => None,
         };
         let started = match again {
             Some(started) => started,
             None => {
-                self.tried.extend(same);
-                job.start(&mut self.tried, &mut self.runs, last).await?
+                self.progress.tried.extend(same);
+                job.start(&mut self.progress).await?
             }
         };
         if started.head.status != StatusCode::OK {
@@ -276,7 +298,8 @@
             ));
         }
         let gateway = &self.job.gateway;
-        gateway.stream_resumed(&self.job, &started.lease, last);
+        let last_event = self.progress.last_event;
+        gateway.stream_resumed(&self.job, &started.lease, last_event);
         self.splitter = Splitter::default();
         self.body = started.body;
         self.lease = Some(started.lease);
@@ -295,9 +318,9 @@
             if self.is_fresh() {
                 lease.observe_end(self.events);
             }
-            let (server, version) = (lease.server.clone(), lease.version.clone());
+            let (server, origin) = (lease.server.clone(), lease.origin.clone());
             lease.end(ServerOutcome::Answered, true);
-            let by = (&*server, &version);
+            let by = (&*server, &origin.version);
             self.job
                 .gateway
                 .answered(&self.job, by, StatusCode::OK, self.events);
@@ -343,7 +366,17 @@
     .detach();
 }
 
-fn withdraw(turn: Option<OpenTurn>) {
+/// Has keepers record the origin of a stream, if that is not what they were sent.
+fn record_origin(turn: &mut Option<OpenTurn>, binding: &mut StreamBinding, origin: &StreamOrigin) {
+    if let Some(turn) = turn
+        && let Some(recorded) = binding.expect(origin)
+    {
+        turn.record_origin(recorded);
+    }
+}
+
+/// Ends a turn that has not run.
+pub fn withdraw(turn: Option<OpenTurn>) {
     if let Some(turn) = turn {
         end_unfinished(turn, 0, None);
     }
--- a/net/src/gateway/notes.rs
+++ b/net/src/gateway/notes.rs
@@ -123,7 +123,7 @@
             LogEvent::new("stream_resumed")
                 .with("attempt", &job.call.attempt)
                 .with("server", &lease.server)
-                .with("version", &lease.version)
+                .with("version", &lease.origin.version)
                 .with("after_event", last_event.map_or(-1, |id| id as i64)),
         );
     }
--- a/net/src/handoff.rs
+++ b/net/src/handoff.rs
@@ -67,6 +67,8 @@
     pub size: u64,
     /// Whether another gateway handed it over.
     pub handed: bool,
+    /// Whether it continues a stream of an earlier attempt.
+    pub continues: bool,
 }
 
 impl Arrival<'_> {
@@ -257,6 +259,10 @@
     if arrival.handed || !matches!(arrival.route.kind, Kind::Stream { .. }) {
         return Ok(None);
     }
+    // The other gateway's build may not know that a stream is bound to a version.
+    if arrival.continues {
+        return Ok(None);
+    }
     let Some(target) = handoffs.choose(gateway, arrival) else {
         return Ok(None);
     };
--- a/net/src/intake.rs
+++ b/net/src/intake.rs
@@ -177,7 +177,7 @@
     let priority = workspace.and_then(|workspace| workspace.priority);
     let admitted = gateway.admit(&TurnArrival {
         program: &program.id,
-        first: call.previous.is_none(),
+        first: call.previous.is_none() && !call.continues_stream(),
         turns_linked: route.is_linked(),
         service: &target.service,
         rank: priority.unwrap_or(route.priority),
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -13,6 +13,7 @@
 use limpetferry_lib::keeper_protocol::KeeperReply;
 use limpetferry_lib::keeper_protocol::KeeperRequest;
 use limpetferry_lib::ledger::ProgramDigest;
+use limpetferry_lib::ledger::with_origins;
 use limpetferry_lib::membership::ListRequest;
 use limpetferry_lib::membership::MemberState;
 use limpetferry_lib::membership::Membership;
@@ -325,12 +326,13 @@
             let Some(KeeperReply::Records {
                 records,
                 programs: done @ 1..,
+                origins,
             }) = reply
             else {
                 return None;
             };
             count += records.len();
-            self.keeper.keep(records, None);
+            self.keeper.keep(with_origins(records, origins), None);
             programs = programs.get(done..).unwrap_or(&[]);
         }
         Some(count)
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -18,13 +18,16 @@
 use limpetferry_lib::keeper_protocol::KeeperReply;
 use limpetferry_lib::keeper_protocol::KeeperRequest;
 use limpetferry_lib::keeper_protocol::RequestId;
+use limpetferry_lib::ledger::Begin;
 use limpetferry_lib::ledger::Ledger;
 use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::ledger::Record;
+use limpetferry_lib::ledger::StoredRecord;
 use limpetferry_lib::load_map::LoadMap;
 use limpetferry_lib::load_report::LoadReport;
 use limpetferry_lib::membership::ListRequest;
 use limpetferry_lib::membership::Membership;
+use limpetferry_lib::stream_origin::Continuation;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::turn_admission::ReplicaView;
 use smol::net::TcpListener;
@@ -127,14 +130,14 @@
     /// it when all of them are there.
     pub fn keep(
         &self,
-        records: Vec<Record>,
+        records: Vec<StoredRecord>,
         tell: Option<(async_channel::Sender<KeeperMessage>, RequestId)>,
     ) {
         let now = self.clock.now();
         let mut state = self.state();
         let mut fresh = Vec::new();
         for record in records {
-            if state.ledger.apply(now, record.clone()) {
+            if state.ledger.apply_stored(now, record.clone()) {
                 fresh.push(record);
             }
         }
@@ -215,17 +218,20 @@
             KeeperRequest::Note { .. } | KeeperRequest::End { .. } if self.is_full() => {
                 KeeperReply::Failed("the disk is full; raise data.max_mb".to_owned())
             }
-            KeeperRequest::Note { begin, chain, .. } => {
-                let reply = self.noted(
-                    &begin.program,
-                    &begin.turn,
-                    begin.previous.as_deref(),
-                    chain,
-                );
+            KeeperRequest::Note {
+                begin,
+                chain,
+                origin,
+                continuation,
+                ..
+            } => {
+                let reply = self.noted(&begin, chain, &continuation);
                 // The answer goes before the sync, which hides behind the
                 // engine's reading of the prompt.
                 let _ = sender.try_send(KeeperMessage::Tell(ticket, reply));
-                self.keep(vec![Record::Begin(begin)], Some((sender.clone(), ticket)));
+                let record = Record::Begin(begin);
+                let stored = StoredRecord { record, origin };
+                self.keep(vec![stored], Some((sender.clone(), ticket)));
                 return;
             }
             // Its beginning was lost with the power: an end alone is no turn.
@@ -240,11 +246,15 @@
                 begin,
                 finish,
                 place,
+                origin,
                 ..
             } => {
                 let program = finish.program.clone();
-                let begin = begin.map(Record::Begin);
-                let records = begin.into_iter().chain([Record::Finish(finish)]);
+                let begin = begin.map(|begin| StoredRecord {
+                    record: Record::Begin(begin),
+                    origin,
+                });
+                let records = begin.into_iter().chain([Record::Finish(finish).into()]);
                 self.keep(records.collect(), Some((sender.clone(), ticket)));
                 if let Some(place) = place {
                     self.state().ledger.put_place(&program, place);
@@ -327,7 +337,8 @@
         epoch < self.site.known().keepers.epoch
     }
 
-    fn noted(&self, program: &str, turn: &str, previous: Option<&str>, chain: bool) -> KeeperReply {
+    fn noted(&self, begin: &Begin, chain: bool, continuation: &Continuation) -> KeeperReply {
+        let (program, turn, previous) = (&begin.program, &begin.turn, begin.previous.as_deref());
         let view = self.view(program, turn, previous);
         let mut links = Vec::new();
         if let Some(previous) = previous {
@@ -337,11 +348,12 @@
                 links = state.ledger.chain(previous, |_| false);
             }
         }
-        let places = self.state().ledger.places(program).to_vec();
+        let state = self.state();
         KeeperReply::Noted {
             view,
             chain: links,
-            places,
+            places: state.ledger.places(program).to_vec(),
+            origin: state.ledger.origin(program, turn, continuation),
         }
     }
 
@@ -367,6 +379,7 @@
     fn records(&self, programs: &[Arc<str>]) -> KeeperReply {
         let state = self.state();
         let mut records = Vec::new();
+        let mut origins = Vec::new();
         let mut bytes = 0;
         let mut count = 0;
         for program in programs {
@@ -376,11 +389,13 @@
             let more = state.ledger.records(program);
             bytes += more.iter().map(Record::size).sum::<usize>();
             records.extend(more);
+            origins.extend(state.ledger.origins(program));
             count += 1;
         }
         KeeperReply::Records {
             records,
             programs: count,
+            origins,
         }
     }
 
@@ -394,9 +409,7 @@
             let wasteful = on_disk > SMALL && on_disk > GARBAGE_FACTOR * live;
             if wasteful {
                 let ledger = &state.ledger;
-                let all = ledger
-                    .programs()
-                    .flat_map(|program| ledger.records(program));
+                let all = ledger.programs().flat_map(|program| ledger.stored(program));
                 self.disk.send(Job::Rewrite(all.collect()));
             }
             drop(state);
@@ -528,7 +541,7 @@
     );
     let mut ledger = Ledger::default();
     for record in found.records {
-        ledger.apply(now, record);
+        ledger.apply_stored(now, record);
     }
     let (changed, _changes) = async_channel::bounded(1);
     let site = Site::new(&common.node, clock, common.key_digester(), changed);
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -18,13 +18,18 @@
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::routing::Route;
 use limpetferry_lib::server::ServerOutcome;
+use limpetferry_lib::stream_origin::Continuation;
+use limpetferry_lib::stream_origin::RecordedOrigin;
+use limpetferry_lib::stream_origin::StreamBinding;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::workspace::Caller;
 use limpetferry_platform::header;
 
 use crate::allowances::Charge;
 use crate::attempt::Failure;
+use crate::attempt::Progress;
 use crate::attempt::Started;
+use crate::flow;
 use crate::flow::Flow;
 use crate::gateway::Gateway;
 use crate::handoff;
@@ -38,6 +43,7 @@
 use crate::http::whole;
 use crate::intake;
 use crate::refusal::RETRY_KEEPERS;
+use crate::refusal::RETRY_UNKNOWN;
 use crate::refusal::Refusal;
 use crate::refusal::late;
 use crate::refusal::too_long;
@@ -45,6 +51,7 @@
 use crate::steps::Steps;
 use crate::timeout::within;
 use crate::turns::OpenTurn;
+use crate::turns::TurnNote;
 use crate::turns::TurnRefusal;
 
 /// A request that was read, with all that is needed to send it.
@@ -156,6 +163,7 @@
         limit,
         size,
         handed: hop.is_some(),
+        continues: call.continues_stream(),
     };
     if let Some(response) = handoff::hand_over(gateway, &arrival, &mut body).await? {
         return Ok(response);
@@ -194,7 +202,13 @@
     match job.route.kind {
         Kind::Stream { .. } => {
             let open = job.open_turn().await?;
-            job.stream(open).await
+            match job.bind_stream(open.as_ref()) {
+                Ok(binding) => Flow::start(Arc::new(job), open, binding).await,
+                Err(refusal) => {
+                    flow::withdraw(open);
+                    Err(refusal)
+                }
+            }
         }
         _ => job.plain().await,
     }
@@ -236,37 +250,37 @@
         self.limit.since(self.now())
     }
 
-    /// Opens the turn of a stream whose tokens are counted or whose history is
-    /// kept, and puts its history before its input.
+    /// Returns whether its caller may continue its stream, so that the origin of the
+    /// stream is recorded.
+    fn is_resumable(&self) -> bool {
+        self.route.kind == Kind::Stream { resumable: true }
+    }
+
+    /// Opens the turn of a stream whose tokens are counted, whose history is kept or
+    /// that its caller may continue, and puts its history before its input.
     async fn open_turn(&mut self) -> Result<Option<OpenTurn>, Refusal> {
         let kept = self.route.retention.is_some();
-        let Some(program) = &self.call.program else {
-            if kept {
-                return Err(Refusal::new(
-                    StatusCode::BAD_REQUEST,
-                    "the turn names no program; name it with each turn",
-                ));
-            }
-            return Ok(None);
-        };
-        if !kept && program.budget.is_none() {
+        if self.call.continues_stream() && !self.is_resumable() {
+            return Err(Refusal::later(
+                RETRY_UNKNOWN,
+                "streams of the route cannot be resumed; begin the stream anew",
+            ));
+        }
+        let program = self.call.program.as_ref();
+        if program.is_none() && kept {
+            return Err(Refusal::new(
+                StatusCode::BAD_REQUEST,
+                "the turn names no program; name it with each turn",
+            ));
+        }
+        let budget = program.and_then(|program| program.budget);
+        if !kept && budget.is_none() && !self.is_resumable() {
             return Ok(None);
         }
-        let previous = self.call.previous.as_ref().filter(|_| kept);
-        let begin = Begin {
-            turn: self.caller.scope(&self.call.attempt),
-            program: self.caller.scope(&program.id),
-            previous: previous.map(|turn| self.caller.scope(turn)),
-            input: if kept {
-                self.body.clone()
-            } else {
-                Bytes::new()
-            },
-            most: self.call.max_tokens,
-        };
+        let note = self.turn_note(kept);
         let turns = &self.gateway.turns;
         let asked = self.now();
-        let open = turns.open(begin, program.budget, self.limit).await;
+        let open = turns.open(note, budget, self.limit).await;
         self.gateway.observe_answer(self.now().since(asked));
         let open = open.map_err(|refusal| match refusal {
             TurnRefusal::Spent => Refusal::new(
@@ -281,7 +295,7 @@
                 Refusal::later(RETRY_KEEPERS, "too few keepers answer; come back")
             }
             TurnRefusal::Elsewhere => Refusal::later(
-                self.gateway.retry_after(program),
+                program.map_or(RETRY_KEEPERS, |program| self.gateway.retry_after(program)),
                 "too few keepers are within reach here; come back",
             ),
         })?;
@@ -297,12 +311,75 @@
         Ok(Some(open))
     }
 
+    /// Returns what keepers record of its turn. A stream without a program is
+    /// recorded under the attempt that began it.
+    fn turn_note(&self, kept: bool) -> TurnNote {
+        let call = &self.call;
+        let resumes = call.resumes.as_ref();
+        let first = resumes.unwrap_or(&call.attempt);
+        let program = call.program.as_ref().map_or(first, |program| &program.id);
+        let previous = call.previous.as_ref().filter(|_| kept);
+        let continuation = match resumes {
+            _ if !call.continues_stream() => Continuation::None,
+            Some(attempt) => Continuation::Attempt(self.caller.scope(attempt)),
+            None => Continuation::Unnamed,
+        };
+        let begins = self.is_resumable() && continuation == Continuation::None;
+        let expected = begins.then(|| self.expected_origin()).flatten();
+        TurnNote {
+            begin: Begin {
+                turn: self.caller.scope(&call.attempt),
+                program: self.caller.scope(program),
+                previous: previous.map(|turn| self.caller.scope(turn)),
+                input: if kept {
+                    self.body.clone()
+                } else {
+                    Bytes::new()
+                },
+                most: call.max_tokens,
+            },
+            origin: expected.map(|origin| RecordedOrigin { origin, serial: 0 }),
+            continuation,
+        }
+    }
+
+    /// Returns which servers may serve its stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal of a stream that no server may continue.
+    fn bind_stream(&mut self, turn: Option<&OpenTurn>) -> Result<StreamBinding, Refusal> {
+        let Some(turn) = turn.filter(|_| self.is_resumable()) else {
+            return Ok(StreamBinding::unrecorded());
+        };
+        if !self.call.continues_stream() {
+            return Ok(StreamBinding::begin(turn.recorded_origin()));
+        }
+        let Some(origin) = turn.origin.clone() else {
+            return Err(Refusal::later(
+                RETRY_UNKNOWN,
+                "it is not known at which version of its servers the stream began; begin it anew",
+            ));
+        };
+        let mut targets = self.route.targets.iter();
+        if !targets.any(|target| target.service == origin.service) {
+            return Err(Refusal::later(
+                RETRY_UNKNOWN,
+                format!(
+                    "the route no longer leads to service {}, where the stream began; begin it anew",
+                    origin.service
+                ),
+            ));
+        }
+        self.service = origin.service.clone();
+        Ok(StreamBinding::resume(origin))
+    }
+
     /// Answers with a whole body.
     async fn plain(&self) -> Result<Response<Body>, Refusal> {
-        let mut tried = Vec::new();
-        let mut runs = 0;
+        let mut progress = Progress::default();
         loop {
-            let started = self.start(&mut tried, &mut runs, None).await?;
+            let started = self.start(&mut progress).await?;
             let key = started.lease.key;
             match self.collect(started).await {
                 Ok(response) => return Ok(response),
@@ -310,8 +387,8 @@
                 Err(failure) => {
                     self.gateway
                         .attempt_failed(&self.call.attempt, key, &failure);
-                    tried.push(key);
-                    self.count_run(&mut runs)?;
+                    progress.tried.push(key);
+                    self.count_run(&mut progress.runs)?;
                 }
             }
         }
@@ -337,7 +414,7 @@
         };
         started.lease.heard();
         let server = started.lease.server.clone();
-        let version = started.lease.version.clone();
+        let origin = started.lease.origin.clone();
         let outcome = if started.head.status.is_server_error() {
             ServerOutcome::Failed
         } else {
@@ -347,7 +424,7 @@
             started.lease.observe_plain();
         }
         started.lease.end(outcome, true);
-        let by = (&*server, &version);
+        let by = (&*server, &origin.version);
         self.gateway.answered(self, by, started.head.status, 0);
         let mut response = Response::new(whole(body));
         *response.status_mut() = started.head.status;
@@ -361,9 +438,4 @@
         let time = self.now().since(self.start);
         self.gateway.meters.first_event.observe(time.as_secs_f64());
     }
-
-    /// Answers with a stream.
-    async fn stream(self, open: Option<OpenTurn>) -> Result<Response<Body>, Refusal> {
-        Flow::start(Arc::new(self), open).await
-    }
 }
--- a/net/src/segments.rs
+++ b/net/src/segments.rs
@@ -13,7 +13,7 @@
 use std::path::PathBuf;
 
 use limpetferry_lib::keeper_protocol::Snapshot;
-use limpetferry_lib::ledger::Record;
+use limpetferry_lib::ledger::StoredRecord;
 use thiserror::Error;
 
 use crate::frames;
@@ -45,7 +45,7 @@
 #[derive(Debug, Default)]
 pub struct Found {
     /// The records, oldest first.
-    pub records: Vec<Record>,
+    pub records: Vec<StoredRecord>,
     /// Whether the keeper has all that it ever acknowledged.
     pub whole: bool,
     /// Bytes that were cut off.
@@ -108,7 +108,7 @@
     /// # Errors
     ///
     /// Returns a [`SegmentError`] if they cannot be written.
-    pub fn append(&mut self, records: &[Record]) -> Result<(), SegmentError> {
+    pub fn append(&mut self, records: &[StoredRecord]) -> Result<(), SegmentError> {
         let mut batch = Vec::new();
         for record in records {
             frames::append(record, &mut batch).map_err(SegmentError::Record)?;
@@ -186,7 +186,7 @@
     /// # Errors
     ///
     /// Returns a [`SegmentError`] if the disk fails; nothing is lost then.
-    pub fn rewrite(&mut self, live: &[Record]) -> Result<(), SegmentError> {
+    pub fn rewrite(&mut self, live: &[StoredRecord]) -> Result<(), SegmentError> {
         let old = self.rotate()?;
         let most = std::mem::replace(&mut self.most, u64::MAX);
         let written = self.append(live).and_then(|()| self.sync());
@@ -237,7 +237,7 @@
 
 /// Reads records up to the first one that is not whole, and returns the bytes
 /// that they take.
-fn read_records(bytes: &[u8], records: &mut Vec<Record>) -> usize {
+fn read_records(bytes: &[u8], records: &mut Vec<StoredRecord>) -> usize {
     let mut at = 0;
     while let Some((record, size)) = frames::first(&bytes[at..]) {
         records.push(record);
--- a/net/src/turn_end.rs
+++ b/net/src/turn_end.rs
@@ -16,6 +16,7 @@
 use crate::replicas::HeardSender;
 use crate::timeout::within;
 use crate::turns::ASK_AGAIN;
+use crate::turns::TurnNote;
 use crate::turns::Turns;
 
 /// Longest wait for the end of a turn to be on disk.
@@ -51,15 +52,15 @@
     /// is there.
     pub(crate) async fn finish(
         &self,
-        begin: &Begin,
+        note: &TurnNote,
         finish: Finish,
         place: Option<Place>,
         noted: &HashSet<Arc<str>>,
     ) -> bool {
         let limit = self.clock.now() + END_WAIT;
         loop {
-            let mut ending = self.ending(begin, place, noted);
-            match self.end_by(&mut ending, begin, &finish, limit).await {
+            let mut ending = self.ending(&note.begin, place, noted);
+            match self.end_by(&mut ending, note, &finish, limit).await {
                 Some(done) => return done,
                 // A keeper that acknowledged it may have lost its disk since:
                 // by the new list all are asked again.
@@ -90,13 +91,13 @@
     async fn end_by(
         &self,
         ending: &mut Ending,
-        begin: &Begin,
+        note: &TurnNote,
         finish: &Finish,
         limit: Time,
     ) -> Option<bool> {
         let (sender, heard) = async_channel::unbounded();
         loop {
-            self.ask_end(ending, begin, finish, &sender);
+            self.ask_end(ending, note, finish, &sender);
             if ending.majority(&ending.synced) {
                 return Some(true);
             }
@@ -126,7 +127,7 @@
     }
 
     /// Asks a majority to put the end on disk, or all once that took long.
-    fn ask_end(&self, ending: &mut Ending, begin: &Begin, finish: &Finish, sender: &HeardSender) {
+    fn ask_end(&self, ending: &mut Ending, note: &TurnNote, finish: &Finish, sender: &HeardSender) {
         for &at in &ending.places {
             if !ending.wide && ending.majority(&ending.asked) {
                 return;
@@ -137,10 +138,11 @@
             }
             let full = !ending.noted.contains(node);
             let question = KeeperRequest::End {
-                begin: full.then(|| begin.clone()),
+                begin: full.then(|| note.begin.clone()),
                 finish: finish.clone(),
                 place: ending.place,
                 epoch: ending.membership.epoch,
+                origin: note.origin.clone().filter(|_| full),
             };
             if self.replicas.ask(node, question, sender) {
                 ending.asked.insert(node.clone());
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -15,6 +15,9 @@
 use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::place::Place;
+use limpetferry_lib::stream_origin::Continuation;
+use limpetferry_lib::stream_origin::RecordedOrigin;
+use limpetferry_lib::stream_origin::StreamOrigin;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::turn_admission::NextAction;
 use limpetferry_lib::turn_admission::ReplicaEvent;
@@ -67,11 +70,26 @@
     chains: Mutex<ChainCache>,
 }
 
+/// A turn as its keepers record it.
+#[derive(Clone)]
+pub struct TurnNote {
+    /// Its start.
+    pub begin: Begin,
+    /// Origin of its stream, if that is recorded.
+    pub origin: Option<RecordedOrigin>,
+    /// The stream that it continues.
+    pub continuation: Continuation,
+}
+
 /// A turn that may run.
 pub struct OpenTurn {
     turns: Arc<Turns>,
-    begin: Begin,
+    note: TurnNote,
     round: Round,
+    /// The round in which a later origin is recorded.
+    rerecorded: Option<Round>,
+    /// Origin of the stream that it continues, if the keepers know it.
+    pub origin: Option<StreamOrigin>,
     /// What a server is to receive: the history, then the new input.
     pub prompt: Bytes,
     /// Where the program's prompts are kept.
@@ -160,29 +178,31 @@
     /// Panics if another thread panicked while it held a lock.
     pub async fn open(
         self: &Arc<Self>,
-        begin: Begin,
+        note: TurnNote,
         budget: Option<u64>,
         limit: Time,
     ) -> Result<OpenTurn, TurnRefusal> {
         let limit = limit.min(self.clock.now() + OPEN_WAIT);
-        let round = self.note(&begin, budget, limit).await;
+        let round = self.note(&note, budget, limit).await;
         let mut round = match round {
             Ok(round) => round,
             Err(refusal) => {
-                self.withdraw(begin);
+                self.withdraw(note);
                 return Err(refusal);
             }
         };
-        match self.find_prompt(&begin, limit).await {
+        match self.find_prompt(&note.begin, limit).await {
             Ok(prompt) => Ok(OpenTurn {
                 turns: self.clone(),
                 places: std::mem::take(&mut round.places),
-                begin,
+                origin: round.opening.origin(),
+                note,
                 round,
+                rerecorded: None,
                 prompt,
             }),
             Err(refusal) => {
-                self.withdraw(begin);
+                self.withdraw(note);
                 Err(refusal)
             }
         }
@@ -190,18 +210,18 @@
 
     async fn note(
         &self,
-        begin: &Begin,
+        note: &TurnNote,
         budget: Option<u64>,
         limit: Time,
     ) -> Result<Round, TurnRefusal> {
-        let mut round = self.round(begin, budget);
+        let mut round = self.round(note, budget);
         let near = self.replicas.within_reach(REACH_WAIT);
         let reached = |at: usize| near.contains(&round.membership.keepers[at].node);
         if !round.opening.replicas().majority(reached) {
             return Err(TurnRefusal::Elsewhere);
         }
         loop {
-            self.ask_missing(&mut round, begin);
+            self.ask_missing(&mut round, note);
             let left = limit.since(self.clock.now());
             if left.is_zero() {
                 return Err(TurnRefusal::Unavailable);
@@ -209,27 +229,29 @@
             let Some(Ok(heard)) = within(left.min(ASK_AGAIN), round.heard.recv()).await else {
                 round.wide = true;
                 if self.site.known().keepers.epoch > round.membership.epoch {
-                    round = self.round(begin, budget);
+                    round = self.round(note, budget);
                 }
                 continue;
             };
-            match self.take(&mut round, begin, heard) {
+            match self.take(&mut round, &note.begin, heard) {
                 Some(NextAction::Go) => return Ok(round),
                 Some(NextAction::Spent) => return Err(TurnRefusal::Spent),
-                Some(NextAction::Ask) => self.look_all(&mut round, begin),
+                Some(NextAction::Ask) => self.look_all(&mut round, &note.begin),
                 Some(NextAction::Wait) => {}
-                None => round = self.round(begin, budget),
+                None => round = self.round(note, budget),
             }
         }
     }
 
-    fn round(&self, begin: &Begin, budget: Option<u64>) -> Round {
+    fn round(&self, note: &TurnNote, budget: Option<u64>) -> Round {
+        let begin = &note.begin;
         let membership = self.site.known().keepers.clone();
         let replicas = membership.replicas(&begin.program, self.faults);
+        let opening = TurnAdmission::new(replicas, budget, begin.most);
         let (sender, heard) = async_channel::unbounded();
         Round {
             membership,
-            opening: TurnAdmission::new(replicas, budget, begin.most),
+            opening: opening.with_continuation(note.continuation.clone()),
             sender,
             heard,
             asked: HashSet::new(),
@@ -242,17 +264,19 @@
 
     /// Asks a majority of the replicas, or all once that took long: those that
     /// were not asked, or whose link ended since.
-    fn ask_missing(&self, round: &mut Round, begin: &Begin) {
-        let mut chain = round.asked.is_empty() && self.is_cold(begin);
+    fn ask_missing(&self, round: &mut Round, note: &TurnNote) {
+        let mut chain = round.asked.is_empty() && self.is_cold(&note.begin);
         for at in round.unasked() {
             let enough = |at: usize| round.asked.contains(&at);
             if !round.wide && round.opening.replicas().majority(enough) {
                 return;
             }
             let question = KeeperRequest::Note {
-                begin: begin.clone(),
+                begin: note.begin.clone(),
                 chain,
                 epoch: round.membership.epoch,
+                origin: note.origin.clone(),
+                continuation: note.continuation.clone(),
             };
             let node = &round.membership.keepers[at].node;
             if self.replicas.ask(node, question, &round.sender) {
@@ -290,6 +314,7 @@
                 view,
                 chain,
                 places,
+                origin,
             }) => {
                 round.noted.insert(at);
                 round.places.extend(places);
@@ -298,7 +323,7 @@
                     // It noted the turn after the others were asked to look.
                     self.look(round, begin, &[at]);
                 }
-                ReplicaEvent::Noted(view)
+                ReplicaEvent::Noted(view, origin)
             }
             Some(KeeperReply::Seen(view)) => ReplicaEvent::Seen(view),
             Some(KeeperReply::Synced) => ReplicaEvent::Synced,
@@ -385,52 +410,83 @@
     }
 
     /// Ends a turn that never ran, so that it no longer counts.
-    fn withdraw(self: &Arc<Self>, begin: Begin) {
+    fn withdraw(self: &Arc<Self>, note: TurnNote) {
         let finish = Finish {
-            turn: begin.turn.clone(),
-            program: begin.program.clone(),
+            turn: note.begin.turn.clone(),
+            program: note.begin.program.clone(),
             output: Bytes::new(),
             used: 0,
             whole: false,
         };
         let this = self.clone();
         smol::spawn(async move {
-            this.finish(&begin, finish, None, &HashSet::new()).await;
+            this.finish(&note, finish, None, &HashSet::new()).await;
         })
         .detach();
     }
 }
 
-impl OpenTurn {
-    /// Waits until a majority that was asked has the turn on disk.
-    ///
-    /// # Errors
-    ///
-    /// Returns a [`TurnRefusal`] if that does not come about in time; nothing
-    /// of the turn may go to the caller then.
-    pub async fn durable(&mut self) -> Result<(), TurnRefusal> {
-        let turns = self.turns.clone();
-        let limit = turns.clock.now() + DURABLE_WAIT;
-        while !self.round.opening.is_durable() {
-            turns.ask_missing(&mut self.round, &self.begin);
-            let left = limit.since(turns.clock.now());
+impl Turns {
+    /// Waits until a majority that was asked in a round has the turn on disk.
+    async fn durable(
+        &self,
+        round: &mut Round,
+        note: &TurnNote,
+        limit: Time,
+    ) -> Result<(), TurnRefusal> {
+        while !round.opening.is_durable() {
+            self.ask_missing(round, note);
+            let left = limit.since(self.clock.now());
             if left.is_zero() {
                 return Err(TurnRefusal::Unavailable);
             }
-            let wait = within(left.min(ASK_AGAIN), self.round.heard.recv());
+            let wait = within(left.min(ASK_AGAIN), round.heard.recv());
             let Some(Ok(heard)) = wait.await else {
-                self.round.wide = true;
+                round.wide = true;
                 continue;
             };
-            match turns.take(&mut self.round, &self.begin, heard) {
+            match self.take(round, &note.begin, heard) {
                 Some(NextAction::Spent) => return Err(TurnRefusal::Spent),
-                Some(NextAction::Ask) => turns.look_all(&mut self.round, &self.begin),
+                Some(NextAction::Ask) => self.look_all(round, &note.begin),
                 Some(_) => {}
                 None => return Err(TurnRefusal::Unavailable),
             }
         }
         Ok(())
     }
+}
+
+impl OpenTurn {
+    /// Returns the origin that the keepers were sent with the turn.
+    pub fn recorded_origin(&self) -> Option<StreamOrigin> {
+        let recorded = self.note.origin.as_ref();
+        recorded.map(|recorded| recorded.origin.clone())
+    }
+
+    /// Has the keepers record another origin of the turn's stream.
+    pub fn record_origin(&mut self, origin: RecordedOrigin) {
+        self.note.origin = Some(origin);
+        let mut round = self.turns.round(&self.note, None);
+        self.turns.ask_missing(&mut round, &self.note);
+        self.rerecorded = Some(round);
+    }
+
+    /// Waits until a majority that was asked has the turn on disk, with the origin
+    /// that was recorded last.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`TurnRefusal`] if that does not come about in time; nothing
+    /// of the turn may go to the caller then.
+    pub async fn durable(&mut self) -> Result<(), TurnRefusal> {
+        let limit = self.turns.clock.now() + DURABLE_WAIT;
+        let turns = self.turns.clone();
+        turns.durable(&mut self.round, &self.note, limit).await?;
+        match &mut self.rerecorded {
+            Some(round) => turns.durable(round, &self.note, limit).await,
+            None => Ok(()),
+        }
+    }
 
     /// Ends the turn. Returns whether a majority has the end on disk, so that
     /// others may continue from it.
@@ -444,18 +500,18 @@
             .map(|&at| self.round.membership.keepers[at].node.clone())
             .collect();
         let finish = Finish {
-            turn: self.begin.turn.clone(),
-            program: self.begin.program.clone(),
+            turn: self.note.begin.turn.clone(),
+            program: self.note.begin.program.clone(),
             output: output.clone(),
             used,
             whole,
         };
-        let done = self.turns.finish(&self.begin, finish, place, &noted).await;
+        let done = self.turns.finish(&self.note, finish, place, &noted).await;
         if done && whole {
             self.turns.remember(vec![ChainLink {
-                turn: self.begin.turn.clone(),
-                previous: self.begin.previous.clone(),
-                text: [&self.begin.input[..], &output[..]].concat().into(),
+                turn: self.note.begin.turn.clone(),
+                previous: self.note.begin.previous.clone(),
+                text: [&self.note.begin.input[..], &output[..]].concat().into(),
             }]);
         }
         done
--- a/net/tests/peer.rs
+++ b/net/tests/peer.rs
@@ -7,6 +7,16 @@
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::Digest;
 use limpetferry_lib::id::NodeId;
+use limpetferry_lib::keeper_protocol::KeeperMessage;
+use limpetferry_lib::keeper_protocol::KeeperReply;
+use limpetferry_lib::keeper_protocol::KeeperRequest;
+use limpetferry_lib::keeper_protocol::RequestId;
+use limpetferry_lib::ledger::Begin;
+use limpetferry_lib::ledger::Presence;
+use limpetferry_lib::stream_origin::Continuation;
+use limpetferry_lib::stream_origin::OriginView;
+use limpetferry_lib::turn_admission::ReplicaView;
+use limpetferry_net::frames;
 use limpetferry_net::links::Links;
 use limpetferry_net::peer;
 use limpetferry_net::peer::Hello;
@@ -105,3 +115,60 @@
     assert!(again.counts_allowances());
     assert!(peer::decode_hello(b"no hello").is_err());
 }
+
+fn encode(message: &KeeperMessage) -> Vec<u8> {
+    let config = bincode::config::standard();
+    bincode::serde::encode_to_vec(message, config).expect("it is encoded")
+}
+
+// Guards against links that break while keepers and gateways of an earlier build
+// run beside those that know the origins of streams.
+#[test]
+fn messages_of_a_build_without_origins_are_read_and_read_by_it() {
+    let begin = Begin {
+        turn: "turn".into(),
+        program: "program".into(),
+        previous: None,
+        input: vec![7; 40].into(),
+        most: 50,
+    };
+    let note = |continuation| {
+        let origin = None;
+        let question = KeeperRequest::Note {
+            begin: begin.clone(),
+            chain: true,
+            epoch: 4,
+            origin,
+            continuation,
+        };
+        KeeperMessage::Ask(RequestId(1), question)
+    };
+    let noted = KeeperMessage::Tell(
+        RequestId(1),
+        KeeperReply::Noted {
+            view: ReplicaView {
+                whole: true,
+                shares: Vec::new(),
+                previous: Presence::Never,
+            },
+            chain: Vec::new(),
+            places: Vec::new(),
+            origin: OriginView::Unknown,
+        },
+    );
+    let (none, named) = (
+        encode(&note(Continuation::None)),
+        encode(&note(Continuation::Attempt("attempt".into()))),
+    );
+    // The earlier build ends its messages before the fields that were added.
+    let old_note = &none[..none.len() - 2];
+    let noted_bytes = encode(&noted);
+    let old_noted = &noted_bytes[..noted_bytes.len() - 1];
+
+    let read = |bytes: &[u8]| frames::decode::<KeeperMessage>(bytes).expect("a message");
+
+    assert_eq!(read(old_note), note(Continuation::None));
+    assert_eq!(read(old_noted), noted);
+    // It reads the fields that it knows, and those stand where they stood.
+    assert_eq!(&named[..old_note.len()], old_note);
+}
--- a/net/tests/segments.rs
+++ b/net/tests/segments.rs
@@ -7,6 +7,11 @@
 use limpetferry_lib::ledger::Begin;
 use limpetferry_lib::ledger::Finish;
 use limpetferry_lib::ledger::Record;
+use limpetferry_lib::ledger::StoredRecord;
+use limpetferry_lib::server_version::ServerVersion;
+use limpetferry_lib::stream_origin::RecordedOrigin;
+use limpetferry_lib::stream_origin::StreamOrigin;
+use limpetferry_net::frames;
 use limpetferry_net::segments::SegmentError;
 use limpetferry_net::segments::Segments;
 use limpetferry_testutils::folder::Folder;
@@ -19,9 +24,9 @@
     folder
 }
 
-fn record(number: usize) -> Record {
+fn record(number: usize) -> StoredRecord {
     let turn: Arc<str> = format!("turn-{number}").into();
-    if number.is_multiple_of(2) {
+    let record = if number.is_multiple_of(2) {
         Record::Begin(Begin {
             turn,
             program: "program".into(),
@@ -37,10 +42,11 @@
             used: 50,
             whole: true,
         })
-    }
+    };
+    record.into()
 }
 
-fn records(count: usize) -> Vec<Record> {
+fn records(count: usize) -> Vec<StoredRecord> {
     (0..count).map(record).collect()
 }
 
@@ -140,3 +146,68 @@
     assert!(!first.whole);
     assert!(second.whole);
 }
+
+fn with_origin(number: usize) -> StoredRecord {
+    StoredRecord {
+        origin: Some(RecordedOrigin {
+            origin: StreamOrigin {
+                service: "engine".into(),
+                version: ServerVersion::new("v1"),
+            },
+            serial: 3,
+        }),
+        ..record(number)
+    }
+}
+
+/// Returns the bodies of a file's records.
+fn bodies(mut bytes: &[u8]) -> Vec<&[u8]> {
+    let mut bodies = Vec::new();
+    while let Some((head, rest)) = bytes.split_first_chunk::<8>() {
+        let [a, b, c, d, ..] = *head;
+        let (body, rest) = rest.split_at(u32::from_be_bytes([a, b, c, d]) as usize);
+        bodies.push(body);
+        bytes = rest;
+    }
+    bodies
+}
+
+// Guards against turns that are lost when a keeper goes back to a build that knows
+// no origins.
+#[test]
+fn a_build_without_origins_reads_records_that_have_one() {
+    let folder = folder();
+    let (mut segments, _) = Segments::open(&folder, MOST).expect("it opens");
+    let stored = [with_origin(0), record(1), with_origin(2)];
+    segments.append(&stored).expect("it is written");
+    segments.sync().expect("it is synced");
+
+    let bytes = fs::read(&files(&folder)[0]).expect("the file is there");
+    let config = bincode::config::standard();
+    let read = bodies(&bytes).into_iter().map(|body| {
+        let decoded = bincode::serde::decode_from_slice::<Record, _>(body, config);
+        decoded.expect("a record").0
+    });
+
+    let records: Vec<Record> = stored.iter().map(|stored| stored.record.clone()).collect();
+    assert_eq!(read.collect::<Vec<Record>>(), records);
+    drop(segments);
+    let (_, found) = Segments::open(&folder, MOST).expect("it opens");
+    assert_eq!((found.records, found.torn), (stored.to_vec(), 0));
+}
+
+// Guards against turns that are lost when a keeper comes to a build that knows
+// origins.
+#[test]
+fn records_of_a_build_without_origins_are_read() {
+    let folder = folder();
+    let mut bytes = Vec::new();
+    for stored in records(2) {
+        frames::append(&stored.record, &mut bytes).expect("it is encoded");
+    }
+    fs::write(folder.join("000000000001.turns"), &bytes).expect("it is written");
+
+    let (_, found) = Segments::open(&folder, MOST).expect("it opens");
+
+    assert_eq!((found.records, found.torn), (records(2), 0));
+}
