metrics: streams that callers take up, and origins that changed

An operator of a release with two versions side by side could not see how many streams are refused for their version, or how often a turn's record is sent twice. streams_taken_up_total{origin} and stream_origins_changed_total say so.

--- a/lib/src/routing.rs
+++ b/lib/src/routing.rs
@@ -68,6 +68,12 @@
         matches!(self.kind, Kind::Stream { .. }) && self.retention.is_some()
     }
 
+    /// Returns whether a service is among those that its requests go to.
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut targets = self.targets.iter();
+        targets.any(|target| &*target.service == service && target.weight > 0.0)
+    }
+
     /// Chooses a service by `draw`, a random number from 0 up to 1.
     pub fn service(&self, draw: f64) -> Option<&Arc<str>> {
         let total: f64 = self.targets.iter().map(|target| target.weight).sum();
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -77,7 +77,7 @@
         // and so the origin, may have changed since the turn was opened. It is
         // recorded while the server reads the prompt.
         if let Some(origin) = job.next_origin(&progress.binding) {
-            record_origin(&mut turn, &mut progress.binding, &origin);
+            record_origin(&job, &mut turn, &mut progress.binding, &origin);
         }
         let started = match job.start(&mut progress).await {
             Ok(started) => started,
@@ -145,7 +145,7 @@
     fn bind(&mut self) {
         if let Some(lease) = &self.lease {
             let binding = &mut self.progress.binding;
-            record_origin(&mut self.turn, binding, &lease.origin);
+            record_origin(&self.job, &mut self.turn, binding, &lease.origin);
             binding.deliver(&lease.origin);
         }
     }
@@ -367,10 +367,19 @@
 }
 
 /// Has keepers record the origin of a stream, if that is not what they were sent.
-fn record_origin(turn: &mut Option<OpenTurn>, binding: &mut StreamBinding, origin: &StreamOrigin) {
-    if let Some(turn) = turn
-        && let Some(recorded) = binding.expect(origin)
-    {
+fn record_origin(
+    job: &Job,
+    turn: &mut Option<OpenTurn>,
+    binding: &mut StreamBinding,
+    origin: &StreamOrigin,
+) {
+    let Some(turn) = turn else {
+        return;
+    };
+    if let Some(recorded) = binding.expect(origin) {
+        if recorded.serial > 0 {
+            job.gateway.meters.origin_changed.inc();
+        }
         turn.record_origin(recorded);
     }
 }
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -68,6 +68,10 @@
     pub connections: IntCounterVec,
     /// Streams that went on after their server broke off.
     pub resumed: IntCounter,
+    /// Streams that callers took up, by whether a server may continue them.
+    pub taken_up: IntCounterVec,
+    /// Streams whose origin was recorded again, because another version began them.
+    pub origin_changed: IntCounter,
     /// Streams that were broken off.
     pub cut: IntCounter,
     /// Requests without a key that is in force.
@@ -125,6 +129,15 @@
             failures: make.counters("attempt_failures_total", "Attempts without answer", "kind")?,
             connections: make.counters("connections_total", "Connections used", "source")?,
             resumed: make.counter("streams_resumed_total", "Streams that went on")?,
+            taken_up: make.counters(
+                "streams_taken_up_total",
+                "Streams that callers took up",
+                "origin",
+            )?,
+            origin_changed: make.counter(
+                "stream_origins_changed_total",
+                "Streams that another version began than was expected",
+            )?,
             cut: make.counter("streams_cut_total", "Streams that were broken off")?,
             unidentified: make.counter("unidentified_total", "Requests without a key in force")?,
             over_allowance: make.counters(
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -355,24 +355,32 @@
         if !self.call.continues_stream() {
             return Ok(StreamBinding::begin(turn.recorded_origin()));
         }
-        let Some(origin) = turn.origin.clone() else {
-            return Err(Refusal::later(
-                RETRY_UNKNOWN,
-                "it is not known at which version of its servers the stream began; begin it anew",
-            ));
+        let found = turn.origin.as_ref();
+        let leads_there = found.is_some_and(|origin| self.route.leads_to(&origin.service));
+        let label = match found {
+            None => "unknown",
+            Some(_) if leads_there => "known",
+            Some(_) => "moved",
         };
-        let mut targets = self.route.targets.iter();
-        if !targets.any(|target| target.service == origin.service) {
-            return Err(Refusal::later(
+        let taken_up = &self.gateway.meters.taken_up;
+        taken_up.with_label_values(&[label]).inc();
+        match found {
+            Some(origin) if leads_there => {
+                self.service = origin.service.clone();
+                Ok(StreamBinding::resume(origin.clone()))
+            }
+            Some(origin) => Err(Refusal::later(
                 RETRY_UNKNOWN,
                 format!(
                     "the route no longer leads to service {}, where the stream began; begin it anew",
                     origin.service
                 ),
-            ));
+            )),
+            None => Err(Refusal::later(
+                RETRY_UNKNOWN,
+                "it is not known at which version of its servers the stream began; begin it anew",
+            )),
         }
-        self.service = origin.service.clone();
-        Ok(StreamBinding::resume(origin))
     }
 
     /// Answers with a whole body.
