streams whose events have no ids do not go on

Callers could get events twice: a stream that broke off after events without ids was sent again without Last-Event-Id, so that the server began it anew behind what its caller had.

Once something of it went to the caller and no id is known, it is cut, and its caller sends it anew. Test a_stream_whose_events_have_no_ids_does_not_go_on failed before ("word 1" twice in one answer).

--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -44,6 +44,8 @@
     lease: Option<Lease>,
     splitter: Splitter,
     events: u64,
+    /// Whether something of its answer went to the caller.
+    begun: bool,
     event_tokens: u64,
     kept: bool,
     /// What the turn said so far, if its history is kept.
@@ -106,6 +108,7 @@
             lease: Some(started.lease),
             splitter: Splitter::default(),
             events: 0,
+            begun: false,
             output: BytesMut::new(),
             turn,
             job,
@@ -143,6 +146,7 @@
     /// Binds the stream to the origin of its first event, which is recorded before
     /// the event is sent to the caller.
     fn bind(&mut self) {
+        self.begun = true;
         if let Some(lease) = &self.lease {
             let binding = &mut self.progress.binding;
             record_origin(&self.job, &mut self.turn, binding, &lease.origin);
@@ -279,6 +283,13 @@
                 "the server broke off; whether the turn ran is unknown",
             ));
         };
+        // Another server would begin anew, and the caller has events already.
+        if self.begun && self.progress.last_event.is_none() {
+            return Err(Refusal::new(
+                StatusCode::BAD_GATEWAY,
+                "the server broke off, and its events have no ids to go on from",
+            ));
+        }
         let job = self.job.clone();
         let again = match same {
             Some(key) => job.start_again(key, &self.progress).await,
--- a/net/tests/versions.rs
+++ b/net/tests/versions.rs
@@ -191,3 +191,19 @@
         assert_eq!(runs(&site), before);
     });
 }
+
+// Guards against events that come twice, where a server that goes on with a stream
+// would begin it anew.
+#[test]
+fn a_stream_whose_events_have_no_ids_does_not_go_on() {
+    smol::block_on(async {
+        let site = site().await;
+        behave(&site, &[Behaviour::CutWithoutIds(2)]);
+
+        let (answer, broken) = stream(&site, "program").await;
+
+        assert!(answer.status == 200 && !answer.whole, "{answer:?}");
+        assert_eq!(broken.text.matches("word 1").count(), 1, "{broken:?}");
+        assert_eq!(runs(&site), 1);
+    });
+}
--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -47,6 +47,9 @@
     /// Aborts a stream from its beginning after this number of events, and loses the
     /// answer of one that is resumed.
     BreakOff(u64),
+    /// Answers with events without ids, and aborts the stream after this number of
+    /// them.
+    CutWithoutIds(u64),
     /// Executes the request, and closes the connection instead of answering.
     LoseAnswer,
     /// Executes the request and never answers.
@@ -231,7 +234,9 @@
         .and_then(|value| value.to_str().ok()?.parse().ok())
         .unwrap_or(0);
     let abort_at = match behaviour {
-        Behaviour::CutAfter(events) | Behaviour::BreakOff(events) => last + events,
+        Behaviour::CutAfter(events)
+        | Behaviour::BreakOff(events)
+        | Behaviour::CutWithoutIds(events) => last + events,
         _ => EVENTS,
     };
     let interval = match behaviour {
@@ -248,7 +253,11 @@
         smol::Timer::after(interval).await;
         let number = number + 1;
         let by = version.map_or_else(String::new, |version| format!(" of {version}"));
-        let event = format!("id: {number}\ndata: word {number}{by}\n\n");
+        let id = match behaviour {
+            Behaviour::CutWithoutIds(_) => String::new(),
+            _ => format!("id: {number}\n"),
+        };
+        let event = format!("{id}data: word {number}{by}\n\n");
         Some((Ok(Frame::data(Bytes::from(event))), number))
     });
     StreamBody::new(frames).boxed_unsync()
