turns whose history is kept are not taken up

On a route that keeps histories and allows callers to take streams up, an attempt that goes on brings only the events after Last-Event-Id. Its turn was recorded with these alone, so that a server got a history without the first events of that turn.

The attempt is refused at once (503, not run), and its caller sends the turn anew. Within one answer such a stream goes on as before, as its gateway has all events. Test a_turn_whose_history_is_kept_is_sent_anew_and_not_taken_up failed before (200).

--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -260,7 +260,9 @@
     /// that its caller may continue, and puts its history before its input.
     async fn open_turn(&mut self) -> Result<Option<OpenTurn>, Refusal> {
         let kept = self.route.retention.is_some();
-        if self.call.continues_stream() && !self.is_resumable() {
+        // An attempt that goes on brings only a part of the output that turns after it
+        // continue from.
+        if self.call.continues_stream() && (kept || !self.is_resumable()) {
             return Err(Refusal::later(
                 RETRY_UNKNOWN,
                 "streams of the route cannot be resumed; begin the stream anew",
--- a/net/tests/versions.rs
+++ b/net/tests/versions.rs
@@ -6,6 +6,8 @@
 use limpetferry_testutils::platform_site::Answer;
 use limpetferry_testutils::platform_site::FIRST_VERSION;
 use limpetferry_testutils::platform_site::PlatformSite;
+use limpetferry_testutils::platform_site::routing;
+use serde_json::json;
 
 /// Version of the servers that are added.
 const SECOND_VERSION: &str = "v2";
@@ -53,6 +55,15 @@
 }
 
 async fn send(site: &PlatformSite, gateway: usize, headers: &[(&str, &str)]) -> Answer {
+    send_to(site, gateway, "/stream/resumable/a", headers).await
+}
+
+async fn send_to(
+    site: &PlatformSite,
+    gateway: usize,
+    path: &str,
+    headers: &[(&str, &str)],
+) -> Answer {
     let mut all = vec![
         ("x-session-id", "line"),
         ("x-token-budget", "100000"),
@@ -60,7 +71,6 @@
         ("x-deadline-ms", "3000"),
     ];
     all.extend_from_slice(headers);
-    let path = "/stream/resumable/a";
     let answer = site.send_raw(gateway, "POST", path, &all, "in;").await;
     answer.expect("an answer")
 }
@@ -192,6 +202,34 @@
     });
 }
 
+// Guards against a turn whose history lacks the events of the attempt that began it.
+#[test]
+fn a_turn_whose_history_is_kept_is_sent_anew_and_not_taken_up() {
+    smol::block_on(async {
+        let site = site().await;
+        let mut document = routing(2);
+        document["Routes"][0]["Resumable"] = json!(true);
+        site.store.put("op/config", &document);
+        for gateway in 0..2 {
+            site.wait_for_routing(gateway, 2).await;
+        }
+        let path = "/stream/kept/a";
+        let program = ("x-program-id", "program");
+        behave(&site, &[Behaviour::BreakOff(2); 3]);
+        let first = send_to(&site, 0, path, &[("x-attempt-id", "first"), program]).await;
+        behave(&site, &[]);
+
+        let resumed = [("last-event-id", "2"), ("resumes", "first")];
+        let resumed = [[("x-attempt-id", "second"), program], resumed].concat();
+        let taken_up = send_to(&site, 0, path, &resumed).await;
+        let anew = send_to(&site, 0, path, &[("x-attempt-id", "third"), program]).await;
+
+        assert!(first.status == 200 && !first.whole, "{first:?}");
+        assert_eq!(taken_up.status, 503, "{taken_up:?}");
+        assert!(anew.status == 200 && anew.whole, "{anew:?}");
+    });
+}
+
 // Guards against events that come twice, where a server that goes on with a stream
 // would begin it anew.
 #[test]
