soak: engines of two versions, and callers that take streams up

Two engines of each version serve side by side, and all of one version may leave. Callers send streams whose connection breaks between two events, take them up at any gateway with Resumes, and begin anew what is refused. A stream that holds events of two versions breaks a promise, as does a missing or doubled event.

--- a/testutils/src/platform_server.rs
+++ b/testutils/src/platform_server.rs
@@ -277,6 +277,26 @@
     named.map(|(_, version)| version.to_owned()).collect()
 }
 
+/// Returns a stream without the versions that its events name.
+pub fn without_versions(stream: &str) -> String {
+    let lines = stream.split_inclusive('\n').map(|line| {
+        let named = line.starts_with("data:").then(|| line.rsplit_once(" of "));
+        match named.flatten() {
+            Some((data, _)) => format!("{data}\n"),
+            None => line.to_owned(),
+        }
+    });
+    lines.collect()
+}
+
+/// Returns what a turn with this complete stream adds to the history.
+pub fn output(stream: &str) -> String {
+    let data = stream
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "));
+    data.map(|data| format!("{data}\n")).collect()
+}
+
 /// Returns what a turn with a complete stream adds to the history.
 pub fn whole_output() -> String {
     (1..=EVENTS)
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -39,6 +39,8 @@
 
 /// Key with which the processes of the site authenticate each other.
 const KEY: &str = "a key for the tests of a site";
+/// Field of the stored routing document that has the digests of workspaces' keys.
+const STORED_KEYS: &[u8] = b"KeyDigests";
 /// Host name of all routes.
 pub const HOST: &str = "agents.example";
 /// Version of the servers that a site starts with.
@@ -450,6 +452,22 @@
         }
     }
 
+    /// Waits until all keepers have stored a routing document with workspaces.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they do not in time.
+    pub async fn wait_for_stored_workspaces(&self) {
+        let has_digests = |keeper: &KeeperSettings| {
+            let stored = std::fs::read(keeper.data.folder.join("site"));
+            let stored = stored.unwrap_or_default();
+            let mut windows = stored.windows(STORED_KEYS.len());
+            windows.any(|window| window == STORED_KEYS)
+        };
+        self.wait_until(|site| site.keepers.iter().all(has_digests))
+            .await;
+    }
+
     /// Returns the address at which a gateway accepts callers.
     pub fn callers(&self, number: usize) -> String {
         self.gateways[number].callers.to_string()
--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -13,6 +13,7 @@
 
 use crate::platform_server::Behaviour;
 use crate::platform_server::Run;
+use crate::platform_site::FIRST_VERSION;
 use crate::platform_site::PlatformSite;
 use crate::platform_site::keyed_routing;
 use crate::soak_caller::Caller;
@@ -23,8 +24,11 @@
 
 /// Version of the first routing document with workspaces. The site starts with
 /// version 1, which has none.
-const FIRST_VERSION: u64 = 2;
+const FIRST_ROUTING: u64 = 2;
 const GATEWAYS: usize = 2;
+/// Version of the engines that are added to those that the site starts with, which
+/// have [`FIRST_VERSION`].
+const SECOND_VERSION: &str = "v2";
 /// Only one of them may be without its disk's data at a time.
 const KEEPERS: usize = 4;
 /// Number of keepers that may be lost at once.
@@ -53,6 +57,10 @@
     pub answered: usize,
     /// Injected faults.
     pub faults: usize,
+    /// Attempts that took a stream up.
+    pub taken_up: usize,
+    /// Those of them that brought an event.
+    pub gone_on: usize,
 }
 
 /// A fault that is injected and later undone.
@@ -79,15 +87,19 @@
     Behave(usize, Behaviour),
     Routing,
     Drain(usize),
+    /// All engines of one version leave.
+    DrainVersion(usize),
 }
 
 fn random_fault(random: &mut SmallRng) -> Fault {
     let gateway = random.random_range(0..GATEWAYS);
     let keeper = random.random_range(0..KEEPERS);
-    let server = random.random_range(0..4);
+    let server = random.random_range(0..SERVERS.len());
     let way = [Way::Forth, Way::Back, Way::Both][random.random_range(0..3)];
     let behaviours = [
         Behaviour::CutAfter(random.random_range(0..5)),
+        Behaviour::BreakOff(random.random_range(1..5)),
+        Behaviour::Slowly,
         Behaviour::LoseAnswer,
         Behaviour::Hang,
         Behaviour::Shed,
@@ -96,7 +108,7 @@
         Behaviour::Unsigned,
         Behaviour::Crossed,
     ];
-    match random.random_range(0..28) {
+    match random.random_range(0..30) {
         0 => Fault::KillGateway(gateway),
         1 => Fault::StopGateway(gateway),
         2 => Fault::FreezeGateway(gateway),
@@ -117,6 +129,7 @@
         17 => Fault::SlowServer(server),
         18 => Fault::Routing,
         19 => Fault::Drain(server),
+        20 => Fault::DrainVersion(random.random_range(0..ENGINES.len())),
         _ => Fault::Behave(server, behaviours[random.random_range(0..behaviours.len())]),
     }
 }
@@ -204,6 +217,10 @@
                 site.store.put("op/config", &keyed_routing(self.version));
             }
             Fault::Drain(number) => site.set_state(SERVERS[number], "draining"),
+            Fault::DrainVersion(version) => {
+                let engines = ENGINES[version].iter();
+                engines.for_each(|engine| site.set_state(engine, "draining"));
+            }
         }
     }
 
@@ -234,13 +251,21 @@
             Fault::SlowServer(number) => site.wires.servers[number].set_delay(Duration::ZERO),
             Fault::CutStore => site.wires.store[0].set_cut(false),
             Fault::Drain(number) => site.set_state(SERVERS[number], "ready"),
+            Fault::DrainVersion(version) => {
+                let engines = ENGINES[version].iter();
+                engines.for_each(|engine| site.set_state(engine, "ready"));
+            }
             _ => {}
         }
     }
 }
 
 /// Server ids, in the order in which the servers were added.
-const SERVERS: [&str; 4] = ["engine-0", "plain-0", "engine-1", "plain-1"];
+const SERVERS: [&str; 6] = [
+    "engine-0", "plain-0", "engine-1", "plain-1", "engine-2", "engine-3",
+];
+/// Ids of the engines of each version.
+const ENGINES: [[&str; 2]; 2] = [["engine-0", "engine-1"], ["engine-2", "engine-3"]];
 
 fn set_random_delay(wire: &Wire, random: &mut SmallRng) {
     wire.set_delay(Duration::from_millis(random.random_range(5..150)));
@@ -285,12 +310,23 @@
         overload: true,
         ..Switches::default()
     };
-    let site =
+    let mut site =
         PlatformSite::start_wired_switched(GATEWAYS, KEEPERS, TOLERATED_LOSSES, switches).await;
-    site.store.put("op/config", &keyed_routing(FIRST_VERSION));
+    for _ in ENGINES[1] {
+        site.add_engine_of(SECOND_VERSION).await;
+    }
+    for (number, engine) in site.engines.iter().enumerate() {
+        let first = number < ENGINES[0].len();
+        engine.set_version(if first { FIRST_VERSION } else { SECOND_VERSION });
+    }
+    site.store.put("op/config", &keyed_routing(FIRST_ROUTING));
     for number in 0..GATEWAYS {
-        site.wait_for_routing(number, FIRST_VERSION).await;
+        site.wait_for_routing(number, FIRST_ROUTING).await;
     }
+    // The site's first routing has no workspaces. A keeper that stops before it has
+    // stored the next one, and gateways that start while the store is cut off, would
+    // go back to it.
+    site.wait_for_stored_workspaces().await;
     let records = Records::default();
     let (stop, stopped) = async_channel::bounded::<()>(1);
     let gateways: Vec<String> = (0..GATEWAYS).map(|number| site.callers(number)).collect();
@@ -302,7 +338,7 @@
         .collect();
     let mut faulty = FaultySite {
         site,
-        version: FIRST_VERSION,
+        version: FIRST_ROUTING,
         active: Vec::new(),
         wiped: None,
         trace: Vec::new(),
@@ -328,6 +364,8 @@
             attempts: records.len(),
             answered: records.iter().filter(|record| record.is_complete()).count(),
             faults,
+            taken_up: records.iter().filter(|record| record.takes_up()).count(),
+            gone_on: records.iter().filter(|record| record.goes_on()).count(),
         })
     } else {
         broken.extend(faulty.trace);
--- a/testutils/src/soak_caller.rs
+++ b/testutils/src/soak_caller.rs
@@ -19,8 +19,10 @@
 
 use crate::platform_server::EVENTS;
 use crate::platform_server::Run;
-use crate::platform_server::whole_output;
+use crate::platform_server::output;
+use crate::platform_server::versions;
 use crate::platform_server::whole_stream;
+use crate::platform_server::without_versions;
 use crate::platform_site::HOST;
 use crate::platform_site::WORKSPACES;
 
@@ -29,6 +31,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Tokens charged for an event according to the tests' routing document.
 const EVENT_TOKENS: u64 = 10;
+/// A caller's connection breaks at one in this many pieces of a stream that it may
+/// take up.
+const LEAVING: u32 = 8;
 /// Number of times that a turn is sent before its program is abandoned.
 const TRIES: usize = 3;
 /// A lookup or transfer whose attempt number is a multiple of this is sent with
@@ -45,6 +50,8 @@
 enum Kind {
     /// A turn whose history is retained; it runs at most once.
     Turn,
+    /// A stream that its caller takes up where it broke off.
+    Draft,
     /// A request that runs at most once.
     Write,
     /// An idempotent request; it runs at most twice.
@@ -69,6 +76,8 @@
     expected_body: Bytes,
     /// Whether it continues a turn that was answered completely.
     continues_known_turn: bool,
+    /// What the caller has of the stream that it takes up.
+    received: String,
     status: Option<u16>,
     body: Bytes,
     /// Whether the answer arrived up to its end.
@@ -109,6 +118,16 @@
         self.kind == Kind::Turn
     }
 
+    /// Returns whether it takes a stream up.
+    pub fn takes_up(&self) -> bool {
+        !self.received.is_empty()
+    }
+
+    /// Returns whether it takes a stream up and brought an event of it.
+    pub fn goes_on(&self) -> bool {
+        self.takes_up() && self.status == Some(200) && !self.body.is_empty()
+    }
+
     /// Returns the number of tokens that the caller received.
     pub fn tokens(&self) -> u64 {
         let text = String::from_utf8_lossy(&self.body);
@@ -131,8 +150,13 @@
                 self.attempt
             ));
         };
-        let allowed = if self.kind == Kind::Read { 2 } else { 1 };
-        if runs.len() > allowed {
+        let allowed = match self.kind {
+            Kind::Read => Some(2),
+            Kind::Turn | Kind::Write => Some(1),
+            // It is sent to its server again where it breaks off.
+            Kind::Draft => None,
+        };
+        if allowed.is_some_and(|allowed| runs.len() > allowed) {
             fail("it ran more often than its kind allows");
         }
         if [402, 404, 408, 421, 429, 503].contains(&self.status.unwrap_or(0)) && !runs.is_empty() {
@@ -159,6 +183,9 @@
         if self.status == Some(200) && !self.is_correct() {
             fail("the answer differs from the server's output");
         }
+        if versions(&self.whole_text()).len() > 1 {
+            fail("the stream holds events of two versions");
+        }
         broken
     }
 
@@ -170,16 +197,26 @@
 
     /// Returns whether the answer, which may be cut off, is correct so far.
     fn is_correct(&self) -> bool {
-        let expected_body = match self.kind {
-            Kind::Turn => whole_stream(),
-            Kind::Write | Kind::Read => format!("answer to {}", self.path),
+        let (expected, received) = match self.kind {
+            Kind::Turn | Kind::Draft => (whole_stream(), without_versions(&self.whole_text())),
+            Kind::Write | Kind::Read => (format!("answer to {}", self.path), self.whole_text()),
         };
         if self.complete {
-            self.body == expected_body
+            received == expected
         } else {
-            expected_body.as_bytes().starts_with(&self.body)
+            expected.starts_with(&received)
         }
     }
+
+    /// Returns what the caller has of the answer, with the attempts before.
+    fn whole_text(&self) -> String {
+        self.received.clone() + &String::from_utf8_lossy(&self.body)
+    }
+}
+
+/// Returns the complete events of a stream that broke off.
+fn whole_events(stream: &str) -> &str {
+    stream.rfind("\n\n").map_or("", |at| &stream[..at + 2])
 }
 
 /// A caller with a connection to each gateway.
@@ -230,7 +267,7 @@
             }
             let input = self.input(turn);
             let expected_body: Bytes = [&history[..], input.as_bytes()].concat().into();
-            let Some(attempt) = self
+            let Some((attempt, answer)) = self
                 .send_turn(&program, budget, &previous, &input, expected_body)
                 .await
             else {
@@ -238,8 +275,9 @@
             };
             previous = Some(attempt);
             history.extend_from_slice(input.as_bytes());
-            history.extend_from_slice(whole_output().as_bytes());
+            history.extend_from_slice(output(&answer).as_bytes());
             self.send_calls(&program).await;
+            self.send_draft(&format!("{program}-draft-{turn}")).await;
         }
     }
 
@@ -254,7 +292,7 @@
     }
 
     /// Sends a turn until it is answered completely, and returns the id of that
-    /// attempt; `None` if the tries or the budget are used up.
+    /// attempt with its answer; `None` if the tries or the budget are used up.
     async fn send_turn(
         &mut self,
         program: &str,
@@ -262,7 +300,7 @@
         previous: &Option<String>,
         input: &str,
         expected_body: Bytes,
-    ) -> Option<String> {
+    ) -> Option<(String, String)> {
         for _ in 0..TRIES {
             let budget_text = budget.to_string();
             let mut headers = vec![
@@ -285,13 +323,15 @@
                 path: "/stream/kept/a".to_owned(),
                 expected_body: expected_body.clone(),
                 continues_known_turn: previous.is_some(),
+                received: String::new(),
                 status: None,
                 body: Bytes::new(),
                 complete: false,
             };
             let record = self.send(draft, "POST", &headers, input).await;
             if record.is_complete() {
-                return Some(record.attempt);
+                let text = record.whole_text();
+                return Some((record.attempt, text));
             }
             if record.status == Some(402) {
                 return None;
@@ -302,6 +342,47 @@
         None
     }
 
+    /// Sends a stream, and takes it up where it breaks off. One that is refused is
+    /// begun anew.
+    async fn send_draft(&mut self, program: &str) {
+        let mut first: Option<String> = None;
+        let mut received = String::new();
+        for _ in 0..TRIES {
+            let last = received.matches("\n\n").count().to_string();
+            let attempt = self.next_attempt();
+            let draft = Record {
+                attempt: attempt.clone(),
+                program: program.to_owned(),
+                budget: None,
+                workspace: Some(self.workspace),
+                kind: Kind::Draft,
+                path: "/stream/resumable/a".to_owned(),
+                expected_body: Bytes::from_static(b"draft"),
+                continues_known_turn: false,
+                received: received.clone(),
+                status: None,
+                body: Bytes::new(),
+                complete: false,
+            };
+            let mut headers = vec![("x-program-id", program), ("x-token-usage", "100,50")];
+            if let Some(first) = &first {
+                headers.extend([("resumes", first.as_str()), ("last-event-id", &last)]);
+            }
+            let record = self.send(draft, "POST", &headers, "draft").await;
+            if record.is_complete() {
+                return;
+            }
+            if record.status == Some(200) {
+                received = whole_events(&record.whole_text()).to_owned();
+                if !received.is_empty() {
+                    first.get_or_insert(attempt);
+                }
+            } else if record.status == Some(503) {
+                (first, received) = (None, String::new());
+            }
+        }
+    }
+
     /// Sends a lookup and a transfer.
     async fn send_calls(&mut self, program: &str) {
         for (kind, method, name) in [(Kind::Read, "GET", "read"), (Kind::Write, "POST", "write")] {
@@ -318,6 +399,7 @@
                 path,
                 expected_body: Bytes::from_static(body.as_bytes()),
                 continues_known_turn: false,
+                received: String::new(),
                 status: None,
                 body: Bytes::new(),
                 complete: false,
@@ -382,6 +464,10 @@
             };
             bytes.extend_from_slice(frame.data_ref().unwrap_or(&Bytes::new()));
             record.body = Bytes::copy_from_slice(&bytes);
+            if record.kind == Kind::Draft && self.random.random_ratio(1, LEAVING) {
+                // Its connection breaks between two events.
+                return;
+            }
         }
         record.complete = true;
         self.connections[gateway] = Some(sender);
