streams that wait for room at their version stop in time for their work

A stream that goes on and that all servers of its version refused for lack of room was tried every 40 ms until its caller's time was over. It is refused as a queued request is: once what is left does not cover the usual answer (503, not run, with a time to come back). Test a_stream_waits_for_room_at_its_version_and_holds_up_no_other: it goes on at its own version after eight refusals, and a new stream is served meanwhile.

--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -375,9 +375,12 @@
             self.gateway
                 .attempt_failed(&self.call.attempt, key, &failure);
             if self.may_wait(&failure, &mut rounds) {
+                // A stream that continues is not in the queue, whose head would wait
+                // for servers of one version while others have room.
                 if progress.binding.origin().is_some() {
-                    // It is not in the queue, where it would wait behind streams that
-                    // any server may begin.
+                    if self.left() < self.usual_work() + LEAST_LEFT {
+                        return Err(no_server(progress, rounds));
+                    }
                     smol::Timer::after(SAME_PAUSE).await;
                 }
                 continue;
@@ -416,14 +419,19 @@
         Ok(on.then(|| dispatch.enter_now(&self.service)))
     }
 
+    /// Returns how long its answer usually takes, at most its target.
+    fn usual_work(&self) -> Duration {
+        let usual = self.gateway.site.known().fleet.mean_answer(&self.service);
+        usual.min(self.route.latency_target)
+    }
+
     /// Waits until a server has room, where servers refused for lack of it.
     async fn wait_for_room(&self, runs: u32) -> Result<Option<Permit>, Refusal> {
         let dispatch = &self.gateway.dispatch;
         if !dispatch.is_on() {
             return Ok(None);
         }
-        let usual = self.gateway.site.known().fleet.mean_answer(&self.service);
-        let work = usual.min(self.route.latency_target);
+        let work = self.usual_work();
         let rank = urgency::queue_rank(self.priority(), self.remains());
         let asked = self.now();
         let waiting = QueuedRequest {
--- a/net/tests/versions.rs
+++ b/net/tests/versions.rs
@@ -1,5 +1,7 @@
 //! Streams while servers of two versions of their software serve side by side.
 
+use futures_lite::future::zip;
+use limpetferry_lib::switches::Switches;
 use limpetferry_testutils::platform_server::Behaviour;
 use limpetferry_testutils::platform_server::EVENTS;
 use limpetferry_testutils::platform_server::versions;
@@ -15,6 +17,9 @@
 /// change their version.
 const STREAMS: usize = 8;
 
+/// Refusals of each server, more in all than are tried in a row without a queue.
+const REFUSALS: usize = 4;
+
 /// A stream that broke off, as its caller knows it.
 #[derive(Debug)]
 struct Broken {
@@ -25,7 +30,11 @@
 
 /// Starts a site with two servers of each version.
 async fn site() -> PlatformSite {
-    let mut site = PlatformSite::start(2, 3, 1).await;
+    site_with(Switches::default()).await
+}
+
+async fn site_with(switches: Switches) -> PlatformSite {
+    let mut site = PlatformSite::start_switched(2, 3, 1, switches).await;
     for engine in &site.engines {
         engine.set_version(FIRST_VERSION);
     }
@@ -38,6 +47,15 @@
     site
 }
 
+/// Returns the version of an engine.
+fn version_of(engine: usize) -> &'static str {
+    if engine < 2 {
+        FIRST_VERSION
+    } else {
+        SECOND_VERSION
+    }
+}
+
 /// Waits until both gateways list this number of engines, and the two plain
 /// servers.
 async fn wait_for_engines(site: &PlatformSite, engines: u64) {
@@ -182,12 +200,7 @@
         behave(&site, &[]);
         let left = versions(&broken.text);
         for number in 0..site.engines.len() {
-            let version = if number < 2 {
-                FIRST_VERSION
-            } else {
-                SECOND_VERSION
-            };
-            if left.contains(version) {
+            if left.contains(version_of(number)) {
                 site.set_state(&format!("engine-{number}"), "draining");
             }
         }
@@ -202,6 +215,35 @@
     });
 }
 
+// Guards against a stream that falls back to another version, or holds up others,
+// while the servers of its version have no room.
+#[test]
+fn a_stream_waits_for_room_at_its_version_and_holds_up_no_other() {
+    smol::block_on(async {
+        let queue = Switches {
+            queue: true,
+            ..Switches::default()
+        };
+        let site = site_with(queue).await;
+        let broken = broken_stream(&site, "program").await;
+        behave(&site, &[]);
+        let own = versions(&broken.text);
+        for (number, engine) in site.engines.iter().enumerate() {
+            if own.contains(version_of(number)) {
+                engine.behave([Behaviour::Shed; REFUSALS]);
+            }
+        }
+
+        let waiting = take_up(&site, 1, &broken);
+        let (taken_up, (other, _)) = zip(waiting, stream(&site, "another")).await;
+
+        let text = broken.text.clone() + &taken_up.text();
+        assert!(taken_up.status == 200 && taken_up.whole, "{taken_up:?}");
+        assert_eq!(versions(&text), own, "{text}");
+        assert!(other.status == 200 && other.whole, "{other:?}");
+    });
+}
+
 // Guards against a turn whose history lacks the events of the attempt that began it.
 #[test]
 fn a_turn_whose_history_is_kept_is_sent_anew_and_not_taken_up() {
