--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -19,6 +19,7 @@
 use limpetferry_lib::server::ServerOutcome;
 use limpetferry_lib::server::ServerState;
 use limpetferry_lib::server_version::ServerVersion;
+use limpetferry_lib::stream_origin::StreamOrigin;
 use limpetferry_lib::switches::Switches;
 use limpetferry_lib::time::Time;
 
@@ -434,6 +435,67 @@
     assert_ne!(fleet.key("server-0"), old);
 }
 
+// Guards against a stream that goes on at a server that has restarted with another
+// version under its id and address.
+#[test]
+fn a_server_whose_version_changes_has_restarted() {
+    let mut fleet = fleet(2);
+    let old = fleet.key("server-0").expect("known server");
+    let upgraded = Server {
+        version: ServerVersion::new("v2"),
+        ..server(0)
+    };
+
+    let arrival = fleet.put(upgraded);
+
+    assert_eq!(arrival, Arrival::Restarted);
+    assert!(!fleet.contains(old));
+}
+
+// Guards against a stream that falls back to another version, where all servers of
+// its own have just failed.
+#[test]
+fn a_stream_falls_back_to_a_server_that_failed_and_not_to_another_version() {
+    let mut fleet = fleet(4);
+    fleet.set_switches(Switches::default());
+    for number in 2..4 {
+        fleet.put(Server {
+            version: ServerVersion::new("v2"),
+            ..server(number)
+        });
+    }
+    let now = Time::default();
+    for id in ["server-0", "server-1"] {
+        let key = fleet.key(id).expect("known server");
+        for _ in 0..3 {
+            fleet.begin(now, key, &criteria(0.0));
+            fleet.end(now, key, ServerOutcome::Broken);
+        }
+    }
+    let origin = StreamOrigin {
+        service: "engine".into(),
+        version: ServerVersion::new("v1"),
+    };
+    let tried: Vec<ServerKey> = ["server-0", "server-1"]
+        .map(|id| fleet.key(id).expect("known server"))
+        .into();
+    let goes_on = Criteria {
+        origin: Some(&origin),
+        ..criteria(0.5)
+    };
+    let nowhere = Criteria {
+        tried: &tried,
+        ..goes_on
+    };
+
+    let new = fleet.pick(now, "engine", &criteria(0.5)).expect("a server");
+    let same = fleet.pick(now, "engine", &goes_on).expect("a server");
+
+    assert!(["server-2", "server-3"].contains(&&*id(&fleet, new)));
+    assert!(["server-0", "server-1"].contains(&&*id(&fleet, same)));
+    assert_eq!(fleet.pick(now, "engine", &nowhere), None);
+}
+
 #[test]
 fn a_late_entry_of_an_earlier_start_is_ignored() {
     let mut fleet = fleet(2);
--- a/net/tests/versions.rs
+++ b/net/tests/versions.rs
@@ -244,6 +244,58 @@
     });
 }
 
+/// Takes up a stream without a program as its caller does.
+async fn take_up_alone(site: &PlatformSite, gateway: usize, first: &str, text: &str) -> Answer {
+    let (attempt, last) = (site.attempt(), events(text).to_string());
+    let headers = [
+        ("x-attempt-id", &*attempt),
+        ("last-event-id", &*last),
+        ("resumes", first),
+    ];
+    send(site, gateway, &headers).await
+}
+
+// Guards against a stream without a program that goes on at another version.
+#[test]
+fn a_stream_without_a_program_goes_on_at_its_version() {
+    smol::block_on(async {
+        let site = site().await;
+        for _ in 0..STREAMS {
+            let first = site.attempt();
+            behave(&site, &[Behaviour::BreakOff(2); 3]);
+            let begun = send(&site, 0, &[("x-attempt-id", &first)]).await;
+            behave(&site, &[]);
+
+            let taken_up = take_up_alone(&site, 1, &first, &begun.text()).await;
+
+            let text = begun.text() + &taken_up.text();
+            assert!(taken_up.status == 200 && taken_up.whole, "{taken_up:?}");
+            assert_eq!(versions(&text).len(), 1, "{text}");
+        }
+    });
+}
+
+// Guards against streams that need keepers only to be taken up, and are refused
+// while too few keepers answer.
+#[test]
+fn a_stream_without_a_program_begins_without_keepers_and_is_not_taken_up() {
+    smol::block_on(async {
+        let mut site = site().await;
+        for node in ["keeper-0", "keeper-1"] {
+            site.process(node).kill();
+        }
+        let first = site.attempt();
+        behave(&site, &[Behaviour::BreakOff(2); 3]);
+        let begun = send(&site, 0, &[("x-attempt-id", &first)]).await;
+        behave(&site, &[]);
+
+        let taken_up = take_up_alone(&site, 1, &first, &begun.text()).await;
+
+        assert!(begun.status == 200 && !begun.whole, "{begun:?}");
+        assert_eq!(taken_up.status, 503, "{taken_up:?}");
+    });
+}
+
 // Guards against a turn whose history lacks the events of the attempt that began it.
 #[test]
 fn a_turn_whose_history_is_kept_is_sent_anew_and_not_taken_up() {
