--- a/lib/src/stream_origin.rs
+++ b/lib/src/stream_origin.rs
@@ -1,9 +1,10 @@
 //! The servers that may continue a stream.
 //!
-//! Servers of several versions may serve one service side by side, and events of
-//! two versions do not fit together. So a stream that has brought its caller an
-//! event continues only at servers of the service and version that sent it: its
-//! origin. Every way in which a stream continues goes by [`StreamBinding`].
+//! Servers of several versions may serve one service at the same time, but a
+//! stream must not mix events of two versions. A stream that has brought its caller
+//! an event therefore continues only at servers of the service and version that
+//! sent it: its origin. [`StreamBinding`] decides for every way in which a stream
+//! continues.
 //!
 //! The origin is recorded with the turn at its program's replicas, and a majority
 //! has it on disk before the first event is sent to the caller. A gateway that
@@ -77,7 +78,7 @@
 }
 
 /// Returns the origin of the stream that a request continues, by the views of a
-/// majority of replicas that have lost nothing; `None` if they do not tell.
+/// majority of replicas that have lost nothing; `None` if their views do not determine it.
 pub fn agreed_origin<'a>(
     continuation: &Continuation,
     views: impl Iterator<Item = &'a OriginView>,
--- a/lib/src/turn_admission.rs
+++ b/lib/src/turn_admission.rs
@@ -210,7 +210,7 @@
     }
 
     /// Returns the origin of the stream that the turn continues, by the answers of
-    /// the replicas that have lost nothing; `None` if they do not tell.
+    /// the replicas that have lost nothing; `None` if their views do not determine it.
     pub fn origin(&self) -> Option<StreamOrigin> {
         let replies = self.replies.values();
         let complete = replies.filter(|answers| is_complete(&answers.noted));
--- a/lib/tests/fleet.rs
+++ b/lib/tests/fleet.rs
@@ -435,7 +435,7 @@
     assert_ne!(fleet.key("server-0"), old);
 }
 
-// Guards against a stream that goes on at a server that has restarted with another
+// Guards against a stream that continues at a server that has restarted with another
 // version under its id and address.
 #[test]
 fn a_server_whose_version_changes_has_restarted() {
@@ -479,17 +479,17 @@
     let tried: Vec<ServerKey> = ["server-0", "server-1"]
         .map(|id| fleet.key(id).expect("known server"))
         .into();
-    let goes_on = Criteria {
+    let continues = Criteria {
         origin: Some(&origin),
         ..criteria(0.5)
     };
     let nowhere = Criteria {
         tried: &tried,
-        ..goes_on
+        ..continues
     };
 
     let new = fleet.pick(now, "engine", &criteria(0.5)).expect("a server");
-    let same = fleet.pick(now, "engine", &goes_on).expect("a server");
+    let same = fleet.pick(now, "engine", &continues).expect("a server");
 
     assert!(["server-2", "server-3"].contains(&&*id(&fleet, new)));
     assert!(["server-0", "server-1"].contains(&&*id(&fleet, same)));
--- a/lib/tests/version_world/mod.rs
+++ b/lib/tests/version_world/mod.rs
@@ -45,8 +45,8 @@
 const PROGRAM_STREAMS: usize = 3;
 /// Servers of a service, at most.
 const MAX_SERVERS: usize = 9;
-/// Taken-up streams from which on their share is compared with that of new ones.
-const MIN_TAKEN_UP: u32 = 12;
+/// Resumed streams from which on their share is compared with that of new ones.
+const MIN_RESUMED: u32 = 12;
 
 /// Counts of what happened.
 #[derive(Clone, Copy, Debug, Default)]
@@ -57,10 +57,10 @@
     pub continued: u32,
     /// New streams, and those of them that brought an event.
     pub new: (u32, u32),
-    /// Streams that were taken up while two servers of their version served, and
+    /// Streams that were resumed while two servers of their version served, and
     /// those of them that brought an event.
-    pub taken_up: (u32, u32),
-    /// Streams that were taken up while no server of their version served.
+    pub resumed: (u32, u32),
+    /// Streams that were resumed while no server of their version served.
     pub left: u32,
     /// Origins that were recorded again, because another version served first.
     pub recorded_again: u32,
@@ -75,8 +75,8 @@
         self.continued += other.continued;
         self.new.0 += other.new.0;
         self.new.1 += other.new.1;
-        self.taken_up.0 += other.taken_up.0;
-        self.taken_up.1 += other.taken_up.1;
+        self.resumed.0 += other.resumed.0;
+        self.resumed.1 += other.resumed.1;
         self.left += other.left;
         self.recorded_again += other.recorded_again;
         self.wiped += other.wiped;
@@ -137,7 +137,7 @@
     tried: Vec<ServerKey>,
     brought: bool,
     /// Whether it is expected to bring an event: enough keepers are up, and if it
-    /// takes a stream up, two servers of its version serve.
+    /// resumes a stream, two servers of its version serve.
     counts: bool,
     over: bool,
 }
@@ -194,7 +194,7 @@
         match self.rng.random_range(0..400) {
             0..40 => self.begin_stream(),
             40..200 => self.advance()?,
-            200..250 => self.take_up(),
+            200..250 => self.resume(),
             250..340 => self.sync(),
             340..344 => self.crash_server(),
             344..349 => {
@@ -217,15 +217,15 @@
         Ok(())
     }
 
-    /// Checks that streams that are taken up while two servers of their version serve
-    /// go on at least half as often as new ones begin.
+    /// Checks that streams that are resumed while two servers of their version serve
+    /// continue at least half as often as new ones begin.
     pub fn check_share(&self) -> Result<(), String> {
         let (new, begun) = self.counts.new;
-        let (taken_up, gone_on) = self.counts.taken_up;
+        let (resumed, continued) = self.counts.resumed;
         let share = |of: u32, all: u32| f64::from(of) / f64::from(all.max(1));
-        if taken_up >= MIN_TAKEN_UP && share(gone_on, taken_up) < share(begun, new) / 2.0 {
+        if resumed >= MIN_RESUMED && share(continued, resumed) < share(begun, new) / 2.0 {
             return Err(format!(
-                "{gone_on} of {taken_up} streams go on, {begun} of {new} begin"
+                "{continued} of {resumed} streams continue, {begun} of {new} begin"
             ));
         }
         Ok(())
@@ -335,8 +335,8 @@
         self.open(number, gateway, expected, Continuation::None);
     }
 
-    /// Has a caller take up a stream that broke off.
-    fn take_up(&mut self) {
+    /// Has a caller resume a stream that broke off.
+    fn resume(&mut self) {
         let streams = self.streams.iter().enumerate();
         let broken: Vec<usize> = streams
             .filter(|(_, stream)| stream.first.is_some() && !stream.busy && !stream.over)
@@ -407,7 +407,7 @@
         if is_new {
             self.counts.new.0 += u32::from(attempt.counts);
         } else {
-            self.counts.taken_up.0 += u32::from(attempt.counts);
+            self.counts.resumed.0 += u32::from(attempt.counts);
             self.counts.left += u32::from(serving == 0);
         }
         let round = self.attempts.len();
@@ -554,7 +554,7 @@
             Some(one.server.clone())
         });
         let Some(server) = server else {
-            // The server is gone: the stream goes on within the answer.
+            // The server is gone: the stream continues within the answer.
             let attempt = &mut self.attempts[number];
             attempt.tried.push(key);
             attempt.server = None;
@@ -574,7 +574,7 @@
                 stream.first = Some(attempt.id.clone());
                 self.counts.new.1 += u32::from(attempt.counts);
             } else {
-                self.counts.taken_up.1 += u32::from(attempt.counts);
+                self.counts.resumed.1 += u32::from(attempt.counts);
             }
         }
         stream.events += 1;
--- a/lib/tests/versions.rs
+++ b/lib/tests/versions.rs
@@ -1,6 +1,6 @@
 //! Checks over random interleavings of releases, crashes, lost gateways and lost
 //! keepers that no stream holds events of two versions of its servers, and that
-//! streams that callers take up go on.
+//! streams that callers resume continue.
 
 mod version_world;
 
@@ -24,10 +24,10 @@
     value.and_then(|text| text.parse().ok()).unwrap_or(default)
 }
 
-// Guards against a stream that goes on at another version than the one that began
-// it, and against refusing streams that could go on.
+// Guards against a stream that continues at another version than the one that began
+// it, and against refusing streams that could continue.
 #[test]
-fn no_stream_holds_events_of_two_versions_and_those_taken_up_go_on() {
+fn no_stream_mixes_versions_and_resumed_streams_continue() {
     let first = number("LIMPETFERRY_SEED", 1);
     let mut counts = Counts::default();
 
@@ -49,7 +49,7 @@
         "{counts:?}"
     );
     assert!(
-        counts.taken_up.1 > 1_000 && counts.wiped > 1_000,
+        counts.resumed.1 > 1_000 && counts.wiped > 1_000,
         "{counts:?}"
     );
     assert!(counts.left > 1_000, "{counts:?}");
@@ -94,7 +94,7 @@
 // Guards against a guess where a caller does not name the stream, and the streams
 // of its program have different origins.
 #[test]
-fn an_unnamed_stream_goes_on_only_where_all_of_its_program_began() {
+fn an_unnamed_stream_continues_only_where_all_of_its_program_began() {
     let same = [recorded("v1", 0), recorded("v1", 3)];
     let different = [recorded("v1", 0), recorded("v2", 3)];
 
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -228,7 +228,7 @@
         Some(origin) => Refusal::later(
             RETRY_UNKNOWN,
             format!(
-                "no server of version {} is there, where the stream began; come back, or begin it anew",
+                "no server of version {} is there, where the stream began; try later, or start it again",
                 origin.version
             ),
         ),
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -283,11 +283,11 @@
                 "the server broke off; whether the turn ran is unknown",
             ));
         };
-        // Another server would begin anew, and the caller has events already.
+        // Another server would start the stream again, and the caller has events already.
         if self.begun && self.progress.last_event.is_none() {
             return Err(Refusal::new(
                 StatusCode::BAD_GATEWAY,
-                "the server broke off, and its events have no ids to go on from",
+                "the server broke off, and its events have no ids to continue from",
             ));
         }
         let job = self.job.clone();
--- a/net/src/gateway/notes.rs
+++ b/net/src/gateway/notes.rs
@@ -115,7 +115,7 @@
         self.note(note);
     }
 
-    /// Notes that a stream goes on at another server, or at the same one again,
+    /// Notes that a stream continues at another server, or at the same one again,
     /// after the event `last_event`.
     pub fn stream_resumed(&self, job: &Job, lease: &Lease, last_event: Option<u64>) {
         self.meters.resumed.inc();
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -68,8 +68,8 @@
     pub connections: IntCounterVec,
     /// Streams that went on after their server broke off.
     pub resumed: IntCounter,
-    /// Streams that callers took up, by whether a server may continue them.
-    pub taken_up: IntCounterVec,
+    /// Streams that callers resumed, by whether a server may continue them.
+    pub caller_resumed: IntCounterVec,
     /// Streams whose origin was recorded again, because another version began them.
     pub origin_changed: IntCounter,
     /// Streams that were broken off.
@@ -129,9 +129,9 @@
             failures: make.counters("attempt_failures_total", "Attempts without answer", "kind")?,
             connections: make.counters("connections_total", "Connections used", "source")?,
             resumed: make.counter("streams_resumed_total", "Streams that went on")?,
-            taken_up: make.counters(
-                "streams_taken_up_total",
-                "Streams that callers took up",
+            caller_resumed: make.counters(
+                "streams_resumed_by_callers_total",
+                "Streams that callers resumed",
                 "origin",
             )?,
             origin_changed: make.counter(
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -260,12 +260,11 @@
     /// that its caller may continue, and puts its history before its input.
     async fn open_turn(&mut self) -> Result<Option<OpenTurn>, Refusal> {
         let kept = self.route.retention.is_some();
-        // An attempt that goes on brings only a part of the output that turns after it
-        // continue from.
+        // The turn would be recorded with the events of the resumed attempt only.
         if self.call.continues_stream() && (kept || !self.is_resumable()) {
             return Err(Refusal::later(
                 RETRY_UNKNOWN,
-                "streams of the route cannot be resumed; begin the stream anew",
+                "streams of the route cannot be resumed; start the stream again",
             ));
         }
         let program = self.call.program.as_ref();
@@ -371,8 +370,8 @@
             Some(_) if leads_there => "known",
             Some(_) => "moved",
         };
-        let taken_up = &self.gateway.meters.taken_up;
-        taken_up.with_label_values(&[label]).inc();
+        let resumed = &self.gateway.meters.caller_resumed;
+        resumed.with_label_values(&[label]).inc();
         match found {
             Some(origin) if leads_there => {
                 self.service = origin.service.clone();
@@ -381,13 +380,13 @@
             Some(origin) => Err(Refusal::later(
                 RETRY_UNKNOWN,
                 format!(
-                    "the route no longer leads to service {}, where the stream began; begin it anew",
+                    "the route no longer leads to service {}, where the stream began; start it again",
                     origin.service
                 ),
             )),
             None => Err(Refusal::later(
                 RETRY_UNKNOWN,
-                "it is not known at which version of its servers the stream began; begin it anew",
+                "it is not known at which version of its servers the stream began; start it again",
             )),
         }
     }
--- a/net/tests/soak.rs
+++ b/net/tests/soak.rs
@@ -11,7 +11,7 @@
     let seen = smol::block_on(soak::run(seed, LENGTH));
     let seen = seen.unwrap_or_else(|broken| panic!("seed {seed}: {broken:#?}"));
     assert!(seen.answered > 0 && seen.faults > 0, "{seen:?}");
-    assert!(seen.gone_on > 0, "{seen:?}");
+    assert!(seen.continued > 0, "{seen:?}");
 }
 
 #[test]
--- a/net/tests/versions.rs
+++ b/net/tests/versions.rs
@@ -13,7 +13,7 @@
 
 /// Version of the servers that are added.
 const SECOND_VERSION: &str = "v2";
-/// Streams of a test: if each one went on at any server, two in three would
+/// Streams of a test: if each one continued at any server, two in three would
 /// change their version.
 const STREAMS: usize = 8;
 
@@ -93,7 +93,7 @@
     answer.expect("an answer")
 }
 
-/// Sends a stream that breaks off, and that no server goes on with.
+/// Sends a stream that breaks off, and that no server continues.
 async fn broken_stream(site: &PlatformSite, program: &str) -> Broken {
     behave(site, &[Behaviour::BreakOff(2); 3]);
     let (answer, broken) = stream(site, program).await;
@@ -118,8 +118,8 @@
     text.matches("\n\n").count() as u64
 }
 
-/// Takes a stream up as its caller does.
-async fn take_up(site: &PlatformSite, gateway: usize, broken: &Broken) -> Answer {
+/// Resumes a stream as its caller does.
+async fn resume(site: &PlatformSite, gateway: usize, broken: &Broken) -> Answer {
     let (attempt, last) = (site.attempt(), events(&broken.text).to_string());
     let headers = [
         ("x-attempt-id", &*attempt),
@@ -141,10 +141,10 @@
     site.engines.iter().map(|engine| engine.runs().len()).sum()
 }
 
-// Guards against a stream that goes on at a server of another version within its
+// Guards against a stream that continues at a server of another version within its
 // answer.
 #[test]
-fn a_stream_that_breaks_off_goes_on_at_a_server_of_its_version() {
+fn a_stream_that_breaks_off_continues_at_a_server_of_its_version() {
     smol::block_on(async {
         let site = site().await;
 
@@ -159,10 +159,10 @@
     });
 }
 
-// Guards against a stream that its caller takes up at another gateway and that
-// goes on at a server of another version.
+// Guards against a stream that its caller resumes at another gateway and that
+// continues at a server of another version.
 #[test]
-fn a_stream_taken_up_after_a_loss_of_power_goes_on_at_its_version() {
+fn a_stream_resumed_after_a_loss_of_power_continues_at_its_version() {
     smol::block_on(async {
         let mut site = site().await;
         let mut streams = Vec::new();
@@ -180,7 +180,7 @@
         wait_for_engines(&site, 4).await;
 
         for broken in &streams {
-            let answer = take_up(&site, 1, broken).await;
+            let answer = resume(&site, 1, broken).await;
 
             let text = broken.text.clone() + &answer.text();
             assert!(answer.status == 200 && answer.whole, "{answer:?}");
@@ -190,7 +190,7 @@
     });
 }
 
-// Guards against a stream that goes on at another version because none of its
+// Guards against a stream that continues at another version because none of its
 // own serves any more.
 #[test]
 fn a_stream_whose_version_has_left_is_refused_at_once() {
@@ -207,7 +207,7 @@
         wait_for_engines(&site, 2).await;
         let before = runs(&site);
 
-        let answer = take_up(&site, 1, &broken).await;
+        let answer = resume(&site, 1, &broken).await;
 
         assert_eq!(answer.status, 503, "{answer:?}");
         assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
@@ -234,18 +234,18 @@
             }
         }
 
-        let waiting = take_up(&site, 1, &broken);
-        let (taken_up, (other, _)) = zip(waiting, stream(&site, "another")).await;
+        let waiting = resume(&site, 1, &broken);
+        let (resumed, (other, _)) = zip(waiting, stream(&site, "another")).await;
 
-        let text = broken.text.clone() + &taken_up.text();
-        assert!(taken_up.status == 200 && taken_up.whole, "{taken_up:?}");
+        let text = broken.text.clone() + &resumed.text();
+        assert!(resumed.status == 200 && resumed.whole, "{resumed:?}");
         assert_eq!(versions(&text), own, "{text}");
         assert!(other.status == 200 && other.whole, "{other:?}");
     });
 }
 
-/// Takes up a stream without a program as its caller does.
-async fn take_up_alone(site: &PlatformSite, gateway: usize, first: &str, text: &str) -> Answer {
+/// Resumes a stream without a program as its caller does.
+async fn resume_alone(site: &PlatformSite, gateway: usize, first: &str, text: &str) -> Answer {
     let (attempt, last) = (site.attempt(), events(text).to_string());
     let headers = [
         ("x-attempt-id", &*attempt),
@@ -255,9 +255,9 @@
     send(site, gateway, &headers).await
 }
 
-// Guards against a stream without a program that goes on at another version.
+// Guards against a stream without a program that continues at another version.
 #[test]
-fn a_stream_without_a_program_goes_on_at_its_version() {
+fn a_stream_without_a_program_continues_at_its_version() {
     smol::block_on(async {
         let site = site().await;
         for _ in 0..STREAMS {
@@ -266,19 +266,19 @@
             let begun = send(&site, 0, &[("x-attempt-id", &first)]).await;
             behave(&site, &[]);
 
-            let taken_up = take_up_alone(&site, 1, &first, &begun.text()).await;
+            let resumed = resume_alone(&site, 1, &first, &begun.text()).await;
 
-            let text = begun.text() + &taken_up.text();
-            assert!(taken_up.status == 200 && taken_up.whole, "{taken_up:?}");
+            let text = begun.text() + &resumed.text();
+            assert!(resumed.status == 200 && resumed.whole, "{resumed:?}");
             assert_eq!(versions(&text).len(), 1, "{text}");
         }
     });
 }
 
-// Guards against streams that need keepers only to be taken up, and are refused
+// Guards against streams that need keepers only to be resumed, and are refused
 // while too few keepers answer.
 #[test]
-fn a_stream_without_a_program_begins_without_keepers_and_is_not_taken_up() {
+fn a_stream_without_a_program_begins_without_keepers_and_is_not_resumed() {
     smol::block_on(async {
         let mut site = site().await;
         for node in ["keeper-0", "keeper-1"] {
@@ -289,16 +289,16 @@
         let begun = send(&site, 0, &[("x-attempt-id", &first)]).await;
         behave(&site, &[]);
 
-        let taken_up = take_up_alone(&site, 1, &first, &begun.text()).await;
+        let resumed = resume_alone(&site, 1, &first, &begun.text()).await;
 
         assert!(begun.status == 200 && !begun.whole, "{begun:?}");
-        assert_eq!(taken_up.status, 503, "{taken_up:?}");
+        assert_eq!(resumed.status, 503, "{resumed:?}");
     });
 }
 
 // Guards against a turn whose history lacks the events of the attempt that began it.
 #[test]
-fn a_turn_whose_history_is_kept_is_sent_anew_and_not_taken_up() {
+fn a_turn_whose_history_is_kept_is_not_resumed() {
     smol::block_on(async {
         let site = site().await;
         let mut document = routing(2);
@@ -315,19 +315,19 @@
 
         let resumed = [("last-event-id", "2"), ("resumes", "first")];
         let resumed = [[("x-attempt-id", "second"), program], resumed].concat();
-        let taken_up = send_to(&site, 0, path, &resumed).await;
-        let anew = send_to(&site, 0, path, &[("x-attempt-id", "third"), program]).await;
+        let resumed = send_to(&site, 0, path, &resumed).await;
+        let again = send_to(&site, 0, path, &[("x-attempt-id", "third"), program]).await;
 
         assert!(first.status == 200 && !first.whole, "{first:?}");
-        assert_eq!(taken_up.status, 503, "{taken_up:?}");
-        assert!(anew.status == 200 && anew.whole, "{anew:?}");
+        assert_eq!(resumed.status, 503, "{resumed:?}");
+        assert!(again.status == 200 && again.whole, "{again:?}");
     });
 }
 
-// Guards against events that come twice, where a server that goes on with a stream
-// would begin it anew.
+// Guards against events that come twice, where a server would start a stream again
+// instead of continuing it.
 #[test]
-fn a_stream_whose_events_have_no_ids_does_not_go_on() {
+fn a_stream_whose_events_have_no_ids_is_not_continued() {
     smol::block_on(async {
         let site = site().await;
         behave(&site, &[Behaviour::CutWithoutIds(2)]);
--- a/testutils/src/bin/limpetferry-soak.rs
+++ b/testutils/src/bin/limpetferry-soak.rs
@@ -29,12 +29,12 @@
     for seed in args.seed..args.seed + args.seeds {
         match smol::block_on(soak::run(seed, length)) {
             Ok(summary) => println!(
-                "seed={seed} held attempts={} answered={} faults={} taken_up={} gone_on={}",
+                "seed={seed} held attempts={} answered={} faults={} resumed={} continued={}",
                 summary.attempts,
                 summary.answered,
                 summary.faults,
-                summary.taken_up,
-                summary.gone_on
+                summary.resumed,
+                summary.continued
             ),
             Err(broken) => {
                 failed += 1;
--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -57,10 +57,10 @@
     pub answered: usize,
     /// Injected faults.
     pub faults: usize,
-    /// Attempts that took a stream up.
-    pub taken_up: usize,
+    /// Attempts that resumed a stream.
+    pub resumed: usize,
     /// Those of them that brought an event.
-    pub gone_on: usize,
+    pub continued: usize,
 }
 
 /// A fault that is injected and later undone.
@@ -364,8 +364,8 @@
             attempts: records.len(),
             answered: records.iter().filter(|record| record.is_complete()).count(),
             faults,
-            taken_up: records.iter().filter(|record| record.takes_up()).count(),
-            gone_on: records.iter().filter(|record| record.goes_on()).count(),
+            resumed: records.iter().filter(|record| record.is_resumed()).count(),
+            continued: records.iter().filter(|record| record.continues()).count(),
         })
     } else {
         broken.extend(faulty.trace);
--- a/testutils/src/soak_caller.rs
+++ b/testutils/src/soak_caller.rs
@@ -32,7 +32,7 @@
 /// Tokens charged for an event according to the tests' routing document.
 const EVENT_TOKENS: u64 = 10;
 /// A caller's connection breaks at one in this many pieces of a stream that it may
-/// take up.
+/// resume.
 const LEAVING: u32 = 8;
 /// Number of times that a turn is sent before its program is abandoned.
 const TRIES: usize = 3;
@@ -50,7 +50,7 @@
 enum Kind {
     /// A turn whose history is retained; it runs at most once.
     Turn,
-    /// A stream that its caller takes up where it broke off.
+    /// A stream that its caller resumes where it broke off.
     Draft,
     /// A request that runs at most once.
     Write,
@@ -76,7 +76,7 @@
     expected_body: Bytes,
     /// Whether it continues a turn that was answered completely.
     continues_known_turn: bool,
-    /// What the caller has of the stream that it takes up.
+    /// What the caller has of the stream that it resumes.
     received: String,
     status: Option<u16>,
     body: Bytes,
@@ -118,14 +118,14 @@
         self.kind == Kind::Turn
     }
 
-    /// Returns whether it takes a stream up.
-    pub fn takes_up(&self) -> bool {
+    /// Returns whether it resumes a stream.
+    pub fn is_resumed(&self) -> bool {
         !self.received.is_empty()
     }
 
-    /// Returns whether it takes a stream up and brought an event of it.
-    pub fn goes_on(&self) -> bool {
-        self.takes_up() && self.status == Some(200) && !self.body.is_empty()
+    /// Returns whether it resumes a stream and brought an event of it.
+    pub fn continues(&self) -> bool {
+        self.is_resumed() && self.status == Some(200) && !self.body.is_empty()
     }
 
     /// Returns the number of tokens that the caller received.
@@ -342,8 +342,8 @@
         None
     }
 
-    /// Sends a stream, and takes it up where it breaks off. One that is refused is
-    /// begun anew.
+    /// Sends a stream, and resumes it where it breaks off. One that is refused is
+    /// started again.
     async fn send_draft(&mut self, program: &str) {
         let mut first: Option<String> = None;
         let mut received = String::new();
