--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -1,6 +1,5 @@
 //! A request at one server after the other.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use http::Request;
@@ -8,26 +7,23 @@
 use http::StatusCode;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use limpetferry_lib::call::Part;
 use limpetferry_lib::criteria::Criteria;
 use limpetferry_lib::criteria::ServerKey;
 use limpetferry_lib::dispatch_queue::QueuedRequest;
-use limpetferry_lib::pace::WaitKey;
-use limpetferry_lib::place::Place;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::server::ServerOutcome;
-use limpetferry_lib::service_time::RequestConditions;
 use limpetferry_lib::service_time::Span;
 use limpetferry_lib::stream_origin::StreamBinding;
 use limpetferry_lib::stream_origin::StreamOrigin;
-use limpetferry_lib::time::Time;
 use limpetferry_lib::urgency;
 use limpetferry_platform::header;
 use limpetferry_platform::header::Dispatch;
 
 use crate::dispatch::Permit;
-use crate::gateway::Gateway;
 use crate::http::Sender;
+use crate::lease::Failure;
+use crate::lease::Lease;
+use crate::lease::Started;
 use crate::refusal::RETRY_FULL;
 use crate::refusal::RETRY_UNKNOWN;
 use crate::refusal::Refusal;
@@ -48,170 +44,6 @@
 /// Time left below which a request is not sent any more.
 const LEAST_LEFT: Duration = Duration::from_millis(5);
 
-/// A request at a server.
-pub struct Lease {
-    gateway: Arc<Gateway>,
-    /// The server.
-    pub key: ServerKey,
-    /// Id of the server.
-    pub server: Arc<str>,
-    /// Origin of a stream that begins there.
-    pub origin: StreamOrigin,
-    sender: Option<Sender>,
-    keep: Option<Duration>,
-    over: bool,
-    /// What the request met at the server.
-    work: RequestConditions,
-    /// When it was sent.
-    sent: Time,
-    /// Its wait for the first part of its answer.
-    wait: Option<WaitKey>,
-    /// When the first event of its answer came.
-    first: Option<Time>,
-    /// Its right to be there, if requests wait for one.
-    permit: Option<Permit>,
-}
-
-impl Lease {
-    /// Notes that the request is sent now, and that its answer begins with
-    /// `span`.
-    fn begin_wait(&mut self, now: Time, span: Span) {
-        self.heard();
-        self.sent = now;
-        let mut known = self.gateway.site.known();
-        self.wait = known.fleet.begin_wait(now, self.key, &self.work, span);
-    }
-
-    /// Notes that the first part of its answer came.
-    pub fn heard(&mut self) {
-        if let Some(wait) = self.wait.take() {
-            let mut known = self.gateway.site.known();
-            known.fleet.end_wait(self.key, wait);
-        }
-    }
-
-    /// Takes the right to be at the server.
-    fn set_permit(&mut self, mut permit: Option<Permit>) {
-        if let Some(permit) = &mut permit {
-            permit.set_server(self.key);
-        }
-        self.permit = permit;
-    }
-
-    /// Notes that the first event of a whole stream came.
-    pub fn observe_first(&mut self) {
-        let now = self.gateway.clock.now();
-        self.first = Some(now);
-        let took = now.since(self.sent);
-        let mut known = self.gateway.site.known();
-        known.fleet.first_event(now, self.key, &self.work, took);
-    }
-
-    /// Notes that a stream whose first event was noted has ended whole.
-    pub fn observe_end(&self, events: u64) {
-        let Some(first) = self.first else {
-            return;
-        };
-        let now = self.gateway.clock.now();
-        let took = now.since(first);
-        let mut known = self.gateway.site.known();
-        let fleet = &mut known.fleet;
-        fleet.stream_end(now, self.key, &self.work, took, events);
-    }
-
-    /// Notes that a plain answer is here whole.
-    pub fn observe_plain(&self) {
-        let now = self.gateway.clock.now();
-        let took = now.since(self.sent);
-        let mut known = self.gateway.site.known();
-        known.fleet.plain_end(now, self.key, &self.work, took);
-    }
-
-    /// Returns where the prompt is kept now, with `made` tokens of output.
-    pub fn place(&self, parts: &[Part], made: u64) -> Option<Place> {
-        let last = parts.last()?;
-        let part = Part {
-            id: last.id,
-            tokens: last.tokens + made,
-        };
-        let now = self.gateway.clock.now();
-        let mut known = self.gateway.site.known();
-        let place = known.fleet.place(self.key, part)?;
-        known.fleet.apply_places(now, &[place]);
-        Some(place)
-    }
-
-    /// Ends the request; the connection is kept if it may be used again.
-    pub fn end(mut self, outcome: ServerOutcome, reuse: bool) {
-        self.close(outcome);
-        if let Some(sender) = self.sender.take().filter(|_| reuse) {
-            let now = self.gateway.clock.now();
-            self.gateway.pool.put(now, self.key, sender, self.keep);
-        }
-    }
-
-    fn close(&mut self, outcome: ServerOutcome) {
-        if !std::mem::replace(&mut self.over, true) {
-            let now = self.gateway.clock.now();
-            let mut known = self.gateway.site.known();
-            if let Some(wait) = self.wait.take() {
-                known.fleet.abandon_wait(now, self.key, wait);
-            }
-            known.fleet.end(now, self.key, outcome);
-            // The permit locks the queue, which locks the fleet.
-            drop(known);
-            if let Some(permit) = self.permit.take() {
-                permit.end(outcome);
-            }
-        }
-    }
-}
-
-impl Drop for Lease {
-    fn drop(&mut self) {
-        self.close(ServerOutcome::Abandoned);
-    }
-}
-
-/// Why an attempt at one server gave no answer.
-#[derive(Clone, Debug)]
-pub enum Failure {
-    /// No byte of it was sent.
-    NotSent(String),
-    /// The server has no room, and did not run it.
-    Full,
-    /// The server says that it did not run it.
-    NotRun(&'static str),
-    /// It may have run.
-    Unknown(String),
-    /// Nothing came for longer than answers take, and it may have run.
-    Silent,
-    /// The caller's time is over, and it may have run.
-    Late,
-}
-
-impl Failure {
-    /// Returns what it says of its server.
-    pub fn outcome(&self) -> ServerOutcome {
-        match self {
-            Self::Late => ServerOutcome::Abandoned,
-            Self::Silent => ServerOutcome::Silent,
-            _ => ServerOutcome::Broken,
-        }
-    }
-
-    /// Returns its name in metrics.
-    pub fn label(&self) -> &'static str {
-        match self {
-            Self::NotSent(_) => "not_sent",
-            Self::Full | Self::NotRun(_) => "not_run",
-            Self::Unknown(_) => "unknown",
-            Self::Silent => "silent",
-            Self::Late => "late",
-        }
-    }
-}
-
 /// Returns the refusal of a request that no server takes, of which `refusals` did
 /// not run it.
 fn no_server(progress: &Progress, refusals: usize) -> Refusal {
@@ -239,16 +71,6 @@
     }
 }
 
-/// The head of a server's answer, with its body still to be read.
-pub struct Started {
-    /// Status and headers.
-    pub head: http::response::Parts,
-    /// The body.
-    pub body: Incoming,
-    /// The request at the server.
-    pub lease: Lease,
-}
-
 /// How far a request has come at servers.
 #[derive(Default)]
 pub struct Progress {
@@ -327,20 +149,9 @@
         let now = self.now();
         let work = known.fleet.begin(now, key, &wish);
         self.steps.expect(&work);
-        Some(Lease {
-            gateway: self.gateway.clone(),
-            key,
-            server: id,
-            origin,
-            sender: None,
-            keep: None,
-            over: false,
-            work,
-            sent: now,
-            wait: None,
-            first: None,
-            permit: None,
-        })
+        drop(known);
+        let gateway = self.gateway.clone();
+        Some(Lease::new(gateway, now, key, id, origin, work))
     }
 
     /// Sends the request to a server that answers and may serve its stream, and
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -20,12 +20,12 @@
 use limpetferry_lib::stream_origin::StreamOrigin;
 use limpetferry_platform::header;
 
-use crate::attempt::Failure;
-use crate::attempt::Lease;
 use crate::attempt::Progress;
-use crate::attempt::Started;
 use crate::http::Body;
 use crate::http::Cut;
+use crate::lease::Failure;
+use crate::lease::Lease;
+use crate::lease::Started;
 use crate::refusal::RETRY_KEEPERS;
 use crate::refusal::Refusal;
 use crate::refusal::late;
--- a/net/src/gateway/notes.rs
+++ b/net/src/gateway/notes.rs
@@ -12,8 +12,8 @@
 use prometheus::core::Collector as _;
 
 use super::Gateway;
-use crate::attempt::Failure;
-use crate::attempt::Lease;
+use crate::lease::Failure;
+use crate::lease::Lease;
 use crate::log;
 use crate::refusal::Refusal;
 use crate::relay::Job;
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod keeper_node;
 pub mod keys;
 pub mod known;
+mod lease;
 pub mod links;
 pub mod load_reporter;
 pub mod load_reports;
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -26,9 +26,7 @@
 use limpetferry_platform::header;
 
 use crate::allowances::Charge;
-use crate::attempt::Failure;
 use crate::attempt::Progress;
-use crate::attempt::Started;
 use crate::flow;
 use crate::flow::Flow;
 use crate::gateway::Gateway;
@@ -42,6 +40,8 @@
 use crate::http::read_body;
 use crate::http::whole;
 use crate::intake;
+use crate::lease::Failure;
+use crate::lease::Started;
 use crate::refusal::RETRY_KEEPERS;
 use crate::refusal::RETRY_UNKNOWN;
 use crate::refusal::Refusal;
