two attempts with one id have no origin

Each attempt has an id of its own, and one gateway records it. A caller that sends the same id to two gateways has two origins recorded with the same serial, of which the first one found was taken. They conflict now, and such a stream is refused.

--- a/lib/src/stream_origin.rs
+++ b/lib/src/stream_origin.rs
@@ -89,10 +89,14 @@
             OriginView::Unknown => return None,
             OriginView::Absent => {}
             OriginView::Recorded(recorded) => {
-                let differs = found.is_some_and(|found| found.origin != recorded.origin);
-                // Records of one attempt replace each other, those of different
-                // streams do not.
-                if differs && *continuation == Continuation::Unnamed {
+                // Records of one attempt replace each other by their serial; those of
+                // different streams, or of two attempts with one id, do not.
+                let conflicts = found.is_some_and(|found| {
+                    let replaces =
+                        *continuation != Continuation::Unnamed && found.serial != recorded.serial;
+                    found.origin != recorded.origin && !replaces
+                });
+                if conflicts {
                     return None;
                 }
                 if found.is_none_or(|found| found.serial < recorded.serial) {
--- a/lib/tests/versions.rs
+++ b/lib/tests/versions.rs
@@ -91,6 +91,16 @@
     assert_eq!(agreed_origin(&attempt, [OriginView::Absent].iter()), None);
 }
 
+// Guards against a guess where a caller sent two attempts with one id, which began at
+// different versions.
+#[test]
+fn two_attempts_with_one_id_have_no_origin() {
+    let views = [recorded("v1", 0), recorded("v2", 0)];
+    let attempt = Continuation::Attempt("attempt".into());
+
+    assert_eq!(agreed_origin(&attempt, views.iter()), None);
+}
+
 // Guards against a guess where a caller does not name the stream, and the streams
 // of its program have different origins.
 #[test]
