--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -98,7 +98,6 @@
     let way = [Way::Forth, Way::Back, Way::Both][random.random_range(0..3)];
     let behaviours = [
         Behaviour::CutAfter(random.random_range(0..5)),
-        Behaviour::BreakOff(random.random_range(1..5)),
         Behaviour::Slowly,
         Behaviour::LoseAnswer,
         Behaviour::Hang,
@@ -108,7 +107,7 @@
         Behaviour::Unsigned,
         Behaviour::Crossed,
     ];
-    match random.random_range(0..30) {
+    match random.random_range(0..36) {
         0 => Fault::KillGateway(gateway),
         1 => Fault::StopGateway(gateway),
         2 => Fault::FreezeGateway(gateway),
@@ -130,6 +129,11 @@
         18 => Fault::Routing,
         19 => Fault::Drain(server),
         20 => Fault::DrainVersion(random.random_range(0..ENGINES.len())),
+        21..26 => {
+            // Streams of this engine have to continue at another one.
+            let engine = random.random_range(0..ENGINES.as_flattened().len());
+            Fault::Behave(engine, Behaviour::BreakOff(random.random_range(1..5)))
+        }
         _ => Fault::Behave(server, behaviours[random.random_range(0..behaviours.len())]),
     }
 }
