logs: a refused stream names the attempt that it resumes

An operator who looks for why a stream ended had the refusal of its next attempt without a word on which stream it was. The line has resumes, where the caller names it.

--- a/net/src/gateway/notes.rs
+++ b/net/src/gateway/notes.rs
@@ -36,19 +36,22 @@
         &self,
         attempt: Option<&str>,
         program: Option<&str>,
+        resumes: Option<&str>,
         refusal: &Refusal,
         start: Time,
     ) {
         let after = refusal.after.map_or(0, |after| after.as_millis());
-        self.note(
-            LogEvent::new("refused")
-                .with("attempt", attempt.unwrap_or("none"))
-                .with("program", program.unwrap_or("none"))
-                .with("status", refusal.status.as_u16())
-                .with("why", &refusal.why)
-                .with("after_ms", after)
-                .with("waited_ms", self.waited(start)),
-        );
+        let note = LogEvent::new("refused")
+            .with("attempt", attempt.unwrap_or("none"))
+            .with("program", program.unwrap_or("none"))
+            .with("status", refusal.status.as_u16())
+            .with("why", &refusal.why)
+            .with("after_ms", after)
+            .with("waited_ms", self.waited(start));
+        self.note(match resumes {
+            Some(resumes) => note.with("resumes", resumes),
+            None => note,
+        });
     }
 
     /// Notes that an allowance had no room for a request, by what the keeper in
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -105,8 +105,10 @@
     let attempt = header::attempt(&head.headers).cloned();
     let call = header::decode_call(&head.headers);
     let call = call.map_err(|error| Refusal::new(StatusCode::BAD_REQUEST, error.to_string()));
-    let program = call.as_ref().ok().and_then(|call| call.program.as_ref());
+    let read = call.as_ref().ok();
+    let program = read.and_then(|call| call.program.as_ref());
     let program = program.map(|program| program.id.clone());
+    let resumes = read.and_then(|call| call.resumes.clone());
     let answer = match call {
         Ok(call) => relay(&gateway, start, call, head, body, hop).await,
         Err(refusal) => Err(refusal),
@@ -115,7 +117,8 @@
         Ok(response) => response,
         Err(refusal) => {
             let id = attempt.as_ref().and_then(|value| value.to_str().ok());
-            gateway.refused(id, program.as_deref(), &refusal, start);
+            let (program, resumes) = (program.as_deref(), resumes.as_deref());
+            gateway.refused(id, program, resumes, &refusal, start);
             let mut response = refusal.answer();
             if let Some(attempt) = attempt {
                 header::set_attempt(response.headers_mut(), attempt);
--- a/net/tests/versions.rs
+++ b/net/tests/versions.rs
@@ -211,6 +211,8 @@
 
         assert_eq!(answer.status, 503, "{answer:?}");
         assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+        let line = format!("resumes={}", broken.attempt);
+        site.wait_for_log("gateway-1", &line).await;
         assert_eq!(runs(&site), before);
     });
 }
