net: one piece for optional pairs of a line, and for a permit without waiting

The permit of a stream that continues stood in two places: permit_now. `answered` took a bare pair of server and version; it takes the Lease, which is noted before it ends, so that neither has to be cloned. The simulation's end of an attempt calls its abandon. Lines, decisions and checks are the same.

--- a/lib/src/effect.rs
+++ b/lib/src/effect.rs
@@ -37,6 +37,15 @@
         self.pairs.push((key, value.to_string()));
         self
     }
+
+    /// Adds a pair if there is a value.
+    #[must_use]
+    pub fn with_some(self, key: &'static str, value: Option<impl ToString>) -> Self {
+        match value {
+            Some(value) => self.with(key, value),
+            None => self,
+        }
+    }
 }
 
 /// An action that a reducer requests.
--- a/lib/tests/version_world/mod.rs
+++ b/lib/tests/version_world/mod.rs
@@ -595,11 +595,9 @@
 
     /// Ends an attempt at its gateway, which records that.
     fn end(&mut self, number: usize) {
-        let attempt = &mut self.attempts[number];
-        attempt.over = true;
-        let stream = &mut self.streams[attempt.stream];
-        stream.busy = false;
-        stream.over |= stream.first.is_none();
+        self.abandon(number);
+        let attempt = &self.attempts[number];
+        let stream = &self.streams[attempt.stream];
         let finish = Finish {
             turn: attempt.begin.turn.clone(),
             program: attempt.begin.program.clone(),
--- a/net/src/attempt.rs
+++ b/net/src/attempt.rs
@@ -225,9 +225,14 @@
         if progress.binding.origin().is_none() {
             return self.wait_for_room(progress.runs).await;
         }
+        Ok(self.permit_now())
+    }
+
+    /// Returns the right to be at a server without waiting, if requests need one.
+    fn permit_now(&self) -> Option<Permit> {
         let dispatch = &self.gateway.dispatch;
         let on = dispatch.is_on();
-        Ok(on.then(|| dispatch.enter_now(&self.service)))
+        on.then(|| dispatch.enter_now(&self.service))
     }
 
     /// Returns how long its answer usually takes, at most its target.
@@ -303,9 +308,7 @@
         let mut tries = 0;
         while self.left() > LEAST_LEFT {
             let mut lease = self.lease(key, &progress.binding)?;
-            let dispatch = &self.gateway.dispatch;
-            let on = dispatch.is_on();
-            lease.set_permit(on.then(|| dispatch.enter_now(&self.service)));
+            lease.set_permit(self.permit_now());
             match self.send(lease, progress.last_event, self.left()).await {
                 Ok(started) => return Some(started),
                 Err(failure) => {
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -329,12 +329,10 @@
             if self.is_fresh() {
                 lease.observe_end(self.events);
             }
-            let (server, origin) = (lease.server.clone(), lease.origin.clone());
-            lease.end(ServerOutcome::Answered, true);
-            let by = (&*server, &origin.version);
             self.job
                 .gateway
-                .answered(&self.job, by, StatusCode::OK, self.events);
+                .answered(&self.job, &lease, StatusCode::OK, self.events);
+            lease.end(ServerOutcome::Answered, true);
         }
         let Some(turn) = self.turn.take() else {
             return Ok(());
--- a/net/src/gateway/notes.rs
+++ b/net/src/gateway/notes.rs
@@ -6,7 +6,6 @@
 use limpetferry_lib::call::Call;
 use limpetferry_lib::criteria::ServerKey;
 use limpetferry_lib::effect::LogEvent;
-use limpetferry_lib::server_version::ServerVersion;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::workspace::Workspace;
 use prometheus::core::Collector as _;
@@ -48,10 +47,7 @@
             .with("why", &refusal.why)
             .with("after_ms", after)
             .with("waited_ms", self.waited(start));
-        self.note(match resumes {
-            Some(resumes) => note.with("resumes", resumes),
-            None => note,
-        });
+        self.note(note.with_some("resumes", resumes));
     }
 
     /// Notes that an allowance had no room for a request, by what the keeper in
@@ -93,13 +89,7 @@
     }
 
     /// Notes that a server's answer went to the caller.
-    pub fn answered(
-        &self,
-        job: &Job,
-        (server, version): (&str, &ServerVersion),
-        status: StatusCode,
-        events: u64,
-    ) {
+    pub fn answered(&self, job: &Job, lease: &Lease, status: StatusCode, events: u64) {
         let now = self.clock.now();
         let time = now.since(job.start);
         self.meters.request_time.observe(time.as_secs_f64());
@@ -111,8 +101,8 @@
         }
         let note = self
             .about(LogEvent::new("answered"), job)
-            .with("server", server)
-            .with("version", version)
+            .with("server", &lease.server)
+            .with("version", &lease.origin.version)
             .with("status", status.as_u16())
             .with("events", events);
         self.note(note);
@@ -154,19 +144,12 @@
                 remains.map_or(-1, |remains| remains.as_millis() as i64),
             )
             .with("waited_ms", self.waited(job.start));
-        let note = job.steps.tell(note);
-        let note = match job.call.last_event {
-            Some(last_event) => note.with("last_event", last_event),
-            None => note,
-        };
-        let note = match &job.call.resumes {
-            Some(resumes) => note.with("resumes", resumes),
-            None => note,
-        };
-        match &job.hop {
-            Some(hop) => note.with("taken_over", &hop.from),
-            None => note,
-        }
+        let hop = job.hop.as_ref();
+        job.steps
+            .tell(note)
+            .with_some("last_event", job.call.last_event)
+            .with_some("resumes", job.call.resumes.as_ref())
+            .with_some("taken_over", hop.map(|hop| &hop.from))
     }
 
     /// Notes the counts so far, for those who have only the log lines.
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -425,8 +425,6 @@
             }
         };
         started.lease.heard();
-        let server = started.lease.server.clone();
-        let origin = started.lease.origin.clone();
         let outcome = if started.head.status.is_server_error() {
             ServerOutcome::Failed
         } else {
@@ -435,9 +433,9 @@
         if started.head.status.is_success() {
             started.lease.observe_plain();
         }
+        let status = started.head.status;
+        self.gateway.answered(self, &started.lease, status, 0);
         started.lease.end(outcome, true);
-        let by = (&*server, &origin.version);
-        self.gateway.answered(self, by, started.head.status, 0);
         let mut response = Response::new(whole(body));
         *response.status_mut() = started.head.status;
         *response.headers_mut() = header::encode_answer(&started.head.headers);
