--- a/review/further/run.sh
+++ b/review/further/budget/run.sh
@@ -3,4 +3,4 @@
 # broken, 0 if it held, 2 if it could not run.
 cd "$(dirname "$0")" || exit 2
 export PYTHONDONTWRITEBYTECODE=1
-exec python3 chain.py
+exec python3 case.py
--- a/review/further/chain.py
+++ b/review/further/chain/case.py
@@ -10,7 +10,7 @@
 import time
 
 HERE = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(HERE, "..", "standins"))
+sys.path.insert(0, os.path.join(HERE, "..", "..", "standins"))
 
 import loopback  # noqa: E402
 
