--- /dev/null
+++ b/net/tests/keeper_memory.rs
@@ -0,0 +1,121 @@
+//! Keepers stay within the memory of their VMs, whatever their disks hold.
+
+use futures_util::future::join_all;
+use limpetferry_testutils::platform_site::Answer;
+use limpetferry_testutils::platform_site::PlatformSite;
+use limpetferry_testutils::platform_site::SiteOptions;
+
+/// Memory of a keeper's VM, in bytes.
+const MEMORY: u64 = 64 << 20;
+/// Largest part of a keeper's disk, in megabytes.
+const DISK_MB: u64 = 400;
+/// Bytes of the input of a turn.
+const INPUT: usize = 64 << 10;
+/// Turns whose inputs exceed a keeper's memory at any two of three keepers.
+const TURNS: usize = 2_400;
+/// Callers that send turns at the same time.
+const CALLERS: usize = 8;
+
+async fn site() -> PlatformSite {
+    let options = SiteOptions {
+        disk_mb: DISK_MB,
+        ..SiteOptions::default()
+    };
+    PlatformSite::start_with(2, 3, 1, options).await
+}
+
+/// Sends a turn of a program that continues from `previous`, and returns its id too.
+async fn turn(
+    site: &PlatformSite,
+    program: &str,
+    previous: Option<&str>,
+    input: &str,
+) -> (String, Answer) {
+    let id = site.attempt();
+    let mut headers = vec![
+        ("x-attempt-id", id.as_str()),
+        ("x-program-id", program),
+        ("x-session-id", "line"),
+        ("x-token-budget", "100000"),
+        ("x-token-usage", "100,50"),
+        ("x-deadline-ms", "3000"),
+    ];
+    headers.extend(previous.map(|previous| ("x-previous-turn", previous)));
+    let answer = site
+        .send_raw(0, "POST", "/stream/kept/a", &headers, input)
+        .await;
+    (id, answer.expect("an answer"))
+}
+
+/// Sends a turn until it is served, as callers do.
+async fn served_turn(
+    site: &PlatformSite,
+    program: &str,
+    previous: Option<&str>,
+    input: &str,
+) -> String {
+    for _ in 0..100 {
+        let (id, answer) = turn(site, program, previous, input).await;
+        if answer.status == 200 && answer.whole {
+            return id;
+        }
+        assert_eq!(answer.status, 503, "{answer:?}");
+    }
+    panic!("no turn was served");
+}
+
+/// Sends the first turns of `count` programs, and returns their ids.
+async fn fill(site: &PlatformSite, count: usize, input: &str) -> Vec<String> {
+    let mut turns = Vec::new();
+    for first in (0..count).step_by(CALLERS) {
+        let numbers = first..count.min(first + CALLERS);
+        let programs = numbers.map(|number| format!("program-{number}"));
+        let sent =
+            programs.map(|program| async move { served_turn(site, &program, None, input).await });
+        turns.extend(join_all(sent).await);
+    }
+    turns
+}
+
+/// Returns the most memory that a keeper has used since it started, in bytes.
+fn peak_memory(site: &mut PlatformSite, keeper: usize) -> u64 {
+    let id = site.process(&format!("keeper-{keeper}")).id();
+    let status = std::fs::read_to_string(format!("/proc/{id}/status"));
+    let status = status.expect("the keeper runs");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let kilobytes = line.and_then(|line| line.split_whitespace().next());
+    kilobytes
+        .and_then(|kb| kb.parse::<u64>().ok())
+        .expect("a number")
+        << 10
+}
+
+fn assert_within_memory(site: &mut PlatformSite, when: &str) {
+    for keeper in 0..3 {
+        let peak = peak_memory(site, keeper);
+        assert!(peak <= MEMORY, "keeper-{keeper} {when}: {peak} bytes");
+    }
+}
+
+// Guards against keepers that hold the texts of all turns in memory, and that exceed
+// the memory of their VMs at each start once they have stored more.
+#[test]
+fn keepers_stay_within_their_memory_through_a_full_disk_and_a_restart() {
+    smol::block_on(async {
+        let mut site = site().await;
+        let input = "x".repeat(INPUT);
+
+        let turns = fill(&site, TURNS, &input).await;
+        assert_within_memory(&mut site, "with all turns stored");
+        for node in ["gateway-0", "gateway-1", "keeper-0", "keeper-1", "keeper-2"] {
+            site.process(node).kill();
+        }
+        (0..3).for_each(|number| site.start_keeper(number));
+        (0..2).for_each(|number| site.start_gateway(number));
+        site.wait_ready().await;
+        served_turn(&site, "later", turns.first().map(String::as_str), "in;").await;
+        served_turn(&site, "later", turns.last().map(String::as_str), "in;").await;
+
+        assert_within_memory(&mut site, "after a restart");
+    });
+}
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -93,10 +93,15 @@
 
 /// Options of a site.
 #[derive(Clone, Copy, Debug)]
-struct SiteOptions {
-    proxies: bool,
-    switches: Switches,
-    long_poll: Duration,
+pub struct SiteOptions {
+    /// Whether processes connect through proxies.
+    pub proxies: bool,
+    /// Switches of the gateways.
+    pub switches: Switches,
+    /// Longest time for which the store may delay the answer to a watch.
+    pub long_poll: Duration,
+    /// Megabytes that each keeper may store.
+    pub disk_mb: u64,
 }
 
 impl Default for SiteOptions {
@@ -105,6 +110,7 @@
             proxies: false,
             switches: Switches::default(),
             long_poll: store_watch::DEFAULT_HOLD,
+            disk_mb: 100,
         }
     }
 }
@@ -257,7 +263,12 @@
         Self::start_with(gateways, keepers, faults, options).await
     }
 
-    async fn start_with(
+    /// Starts a site with these options, and waits until all gateways are ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they are not ready in time.
+    pub async fn start_with(
         gateways: usize,
         keepers: usize,
         faults: usize,
@@ -291,7 +302,8 @@
             site.add_engine().await;
             site.add_plain().await;
         }
-        site.add_keepers(store_address, keepers, faults).await;
+        site.add_keepers(store_address, keepers, faults, options)
+            .await;
         site.add_gateways(store_address, gateways, faults);
         site.wait_ready().await;
         site
@@ -319,7 +331,13 @@
         }
     }
 
-    async fn add_keepers(&mut self, store: SocketAddr, count: usize, faults: usize) {
+    async fn add_keepers(
+        &mut self,
+        store: SocketAddr,
+        count: usize,
+        faults: usize,
+        options: SiteOptions,
+    ) {
         for number in 0..count {
             let node = format!("keeper-{number}");
             let folder = self.folder.join(&node);
@@ -335,7 +353,10 @@
             }
             self.keepers.push(KeeperSettings {
                 common,
-                data: DataSettings { folder, most: 100 },
+                data: DataSettings {
+                    folder,
+                    most: options.disk_mb,
+                },
                 first: true,
             });
         }
