--- a/lib/src/keeper_protocol.rs
+++ b/lib/src/keeper_protocol.rs
@@ -233,6 +233,11 @@
     /// Requests under which servers ended; the first reply holds all of them, each
     /// later one those that changed.
     Ends(Vec<EndNotice>),
+    /// The keeper has no room for the record, and has not stored it.
+    Full {
+        /// When there may be room again, in milliseconds.
+        retry_ms: u64,
+    },
 }
 
 /// A message on a link to a keeper or between keepers.
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -1,5 +1,5 @@
-//! In-memory state of one keeper: the turns of each program with their inputs
-//! and outputs, and the tokens that each turn has used or may still use.
+//! Index of one keeper: the turns of each program, where their inputs and outputs are
+//! stored, and the tokens that each turn has used or may still use.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::disk_usage::DiskUsage;
 use crate::hash;
 use crate::place::Place;
 use crate::place::Places;
@@ -20,6 +21,10 @@
 use crate::stream_origin::Continuation;
 use crate::stream_origin::OriginView;
 use crate::stream_origin::RecordedOrigin;
+use crate::text::Location;
+use crate::text::Text;
+use crate::text::TextError;
+use crate::text::TextSource;
 use crate::time::Time;
 
 /// How long turns are stored while no route is known that wants them for longer.
@@ -27,6 +32,10 @@
 /// How much longer than a route wants them turns are stored: callers, queues and
 /// the change of a keeper's list take some seconds.
 const RETENTION_MARGIN: Duration = Duration::from_secs(15);
+/// Memory of a turn and of its share of its program, without their ids, in bytes.
+const TURN_BYTES: u64 = 480;
+/// Memory of the end of a turn, in bytes.
+const FINISH_BYTES: u64 = 16;
 
 /// Returns how long the turns of a program are stored after its last one.
 pub fn retention(routing: Option<&Routing>) -> Duration {
@@ -92,11 +101,36 @@
         }
     }
 
-    /// Returns the number of bytes of input or output, for limits on memory.
-    pub fn size(&self) -> usize {
+    /// Returns the input or output.
+    pub fn text(&self) -> &Bytes {
         match self {
-            Self::Begin(begin) => begin.input.len(),
-            Self::Finish(finish) => finish.output.len(),
+            Self::Begin(begin) => &begin.input,
+            Self::Finish(finish) => &finish.output,
+        }
+    }
+
+    /// Returns the record with another input or output.
+    pub fn with_text(self, text: Bytes) -> Self {
+        match self {
+            Self::Begin(begin) => Self::Begin(Begin {
+                input: text,
+                ..begin
+            }),
+            Self::Finish(finish) => Self::Finish(Finish {
+                output: text,
+                ..finish
+            }),
+        }
+    }
+
+    /// Returns the memory that the index needs for the record at most, in bytes.
+    pub fn index_bytes(&self) -> u64 {
+        match self {
+            Self::Begin(begin) => {
+                let previous = begin.previous.as_ref().map_or(0, |previous| previous.len());
+                TURN_BYTES + (begin.turn.len() + begin.program.len() + previous) as u64
+            }
+            Self::Finish(_) => FINISH_BYTES,
         }
     }
 }
@@ -176,12 +210,90 @@
     pub digest: u64,
 }
 
+/// A turn of a chain, whose texts may have to be read.
+#[derive(Clone, Debug)]
+pub struct ChainEntry {
+    /// Id of the turn.
+    pub turn: Arc<str>,
+    /// The previous turn of the chain.
+    pub previous: Option<Arc<str>>,
+    /// Its input.
+    pub input: Text,
+    /// Its output.
+    pub output: Text,
+}
+
+impl ChainEntry {
+    /// Returns the length of its texts in bytes.
+    pub fn size(&self) -> usize {
+        self.input.size() + self.output.size()
+    }
+
+    /// Returns whether a text of it has to be read from disk.
+    pub fn is_on_disk(&self) -> bool {
+        self.input.is_on_disk() || self.output.is_on_disk()
+    }
+
+    /// Returns the turn with its texts.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of `source`.
+    pub fn read(self, source: &mut dyn TextSource) -> Result<ChainLink, TextError> {
+        let input = self.input.read(source)?;
+        let output = self.output.read(source)?;
+        Ok(ChainLink {
+            turn: self.turn,
+            previous: self.previous,
+            text: [&input[..], &output[..]].concat().into(),
+        })
+    }
+}
+
+/// A record of a program, whose text may have to be read.
+#[derive(Clone, Debug)]
+pub struct RecordEntry {
+    /// The record, without its text.
+    pub stored: StoredRecord,
+    /// Its input or output.
+    pub text: Text,
+}
+
+impl RecordEntry {
+    /// Returns the record with its text.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of `source`.
+    pub fn read(self, source: &mut dyn TextSource) -> Result<StoredRecord, TextError> {
+        let text = self.text.read(source)?;
+        Ok(StoredRecord {
+            record: self.stored.record.with_text(text),
+            origin: self.stored.origin,
+        })
+    }
+}
+
+#[derive(Clone, Debug)]
+struct TurnBegin {
+    most: u64,
+    input: Text,
+}
+
+#[derive(Clone, Debug)]
+struct TurnFinish {
+    used: u64,
+    whole: bool,
+    output: Text,
+}
+
 #[derive(Clone, Debug)]
 struct Turn {
     program: Arc<str>,
-    begin: Option<Begin>,
-    finish: Option<Finish>,
-    origin: Option<RecordedOrigin>,
+    previous: Option<Arc<str>>,
+    begin: Option<TurnBegin>,
+    finish: Option<TurnFinish>,
+    origin: Option<Box<RecordedOrigin>>,
 }
 
 impl Turn {
@@ -190,7 +302,7 @@
         let known = self.origin.as_ref();
         let new = known.is_none_or(|known| known.serial < recorded.serial);
         if new {
-            self.origin = Some(recorded);
+            self.origin = Some(Box::new(recorded));
         }
         new
     }
@@ -201,8 +313,14 @@
         finish.is_some_and(|finish| finish.used == 0)
     }
 
+    /// Returns whether it ended incompletely, so that no turn continues from it.
+    fn is_broken_off(&self) -> bool {
+        let finish = self.finish.as_ref();
+        finish.is_some_and(|finish| !finish.whole)
+    }
+
     fn origin_view(&self) -> OriginView {
-        let origin = self.origin.clone();
+        let origin = self.origin.as_deref().cloned();
         origin.map_or(OriginView::Unknown, OriginView::Recorded)
     }
 
@@ -211,19 +329,49 @@
         self.finish.as_ref().map_or(most, |finish| finish.used)
     }
 
-    fn link(&self) -> Option<ChainLink> {
+    /// Returns its texts if it is complete.
+    fn texts(&self) -> Option<(&Text, &Text)> {
         let begin = self.begin.as_ref()?;
         let finish = self.finish.as_ref().filter(|finish| finish.whole)?;
-        Some(ChainLink {
-            turn: begin.turn.clone(),
-            previous: begin.previous.clone(),
-            text: [&begin.input[..], &finish.output[..]].concat().into(),
-        })
+        Some((&begin.input, &finish.output))
+    }
+
+    fn text_mut(&mut self, part: TurnPart) -> Option<&mut Text> {
+        match part {
+            TurnPart::Begin => self.begin.as_mut().map(|begin| &mut begin.input),
+            TurnPart::Finish => self.finish.as_mut().map(|finish| &mut finish.output),
+        }
+    }
+
+    fn text(&self, part: TurnPart) -> Option<&Text> {
+        match part {
+            TurnPart::Begin => self.begin.as_ref().map(|begin| &begin.input),
+            TurnPart::Finish => self.finish.as_ref().map(|finish| &finish.output),
+        }
+    }
+}
+
+/// One of the two records of a turn.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TurnPart {
+    Begin,
+    Finish,
+}
+
+impl TurnPart {
+    const ALL: [Self; 2] = [Self::Begin, Self::Finish];
+
+    fn of(record: &Record) -> Self {
+        match record {
+            Record::Begin(_) => Self::Begin,
+            Record::Finish(_) => Self::Finish,
+        }
     }
 }
 
 #[derive(Clone, Debug)]
 struct ProgramTurns {
+    id: Arc<str>,
     turns: Vec<Arc<str>>,
     last_active: Time,
     /// Servers that cache its prompts. Not written to disk: a turn without this
@@ -232,11 +380,17 @@
 }
 
 /// All turns that one keeper stores.
+///
+/// A text is in memory until [`Ledger::set_location`] names the record on disk that
+/// has it.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
-    turns: HashMap<Arc<str>, Turn>,
+    // Boxed, as a table that grows is copied while the smaller one still exists.
+    turns: HashMap<Arc<str>, Box<Turn>>,
     programs: HashMap<Arc<str>, ProgramTurns>,
+    /// Bytes of the texts in memory.
     bytes: usize,
+    disk: DiskUsage,
 }
 
 impl Ledger {
@@ -244,33 +398,144 @@
     /// nothing.
     pub fn apply(&mut self, now: Time, record: Record) -> bool {
         let id = record.turn().clone();
-        let name = record.program().clone();
-        let size = record.size();
-        let program = self.programs.entry(name.clone()).or_insert(ProgramTurns {
-            turns: Vec::new(),
-            last_active: now,
-            places: Places::default(),
-        });
+        let name = record.program();
+        let program = match self.programs.get_mut(name) {
+            Some(program) => program,
+            None => self.programs.entry(name.clone()).or_insert(ProgramTurns {
+                id: name.clone(),
+                turns: Vec::new(),
+                last_active: now,
+                places: Places::default(),
+            }),
+        };
         if renews_retention(&record) {
             program.last_active = program.last_active.max(now);
         }
-        let turn = self.turns.entry(id.clone()).or_insert_with(|| {
-            program.turns.push(id);
-            Turn {
-                program: name,
+        if !self.turns.contains_key(&id) {
+            program.turns.push(id.clone());
+            let turn = Turn {
+                program: program.id.clone(),
+                previous: None,
                 begin: None,
                 finish: None,
                 origin: None,
+            };
+            self.turns.insert(id.clone(), Box::new(turn));
+        }
+        let previous = match &record {
+            Record::Begin(begin) => begin.previous.as_ref(),
+            Record::Finish(_) => None,
+        };
+        // Shares the id of a turn that is stored.
+        let known = previous.and_then(|previous| self.turns.get_key_value(previous));
+        let previous = known.map(|(id, _)| id).or(previous).cloned();
+        let Some(turn) = self.turns.get_mut(&id) else {
+            return false;
+        };
+        let part = TurnPart::of(&record);
+        if turn.text(part).is_some() {
+            return false;
+        }
+        self.bytes += record.text().len();
+        match record {
+            Record::Begin(begin) => {
+                turn.previous = previous;
+                turn.begin = Some(TurnBegin {
+                    most: begin.most,
+                    input: Text::Memory(begin.input),
+                });
             }
-        });
-        let new = match record {
-            Record::Begin(begin) => set_if_none(&mut turn.begin, begin),
-            Record::Finish(finish) => set_if_none(&mut turn.finish, finish),
+            Record::Finish(finish) => {
+                turn.finish = Some(TurnFinish {
+                    used: finish.used,
+                    whole: finish.whole,
+                    output: Text::Memory(finish.output),
+                });
+            }
+        }
+        if turn.is_broken_off() {
+            self.drop_texts(&id);
+        }
+        true
+    }
+
+    /// Drops the texts of a turn from which no other one can continue.
+    fn drop_texts(&mut self, id: &str) {
+        let Some(turn) = self.turns.get_mut(id) else {
+            return;
         };
-        if new {
-            self.bytes += size;
+        for part in TurnPart::ALL {
+            let Some(text) = turn.text_mut(part) else {
+                continue;
+            };
+            let needed = !matches!(text, Text::Dropped(_));
+            self.bytes -= text.memory_bytes();
+            let location = text.location();
+            *text = Text::Dropped(location);
+            if let Some(location) = location.filter(|_| needed) {
+                self.disk.release(location, true);
+                self.disk.hold(location, false);
+            }
         }
-        new
+    }
+
+    /// Counts a record that was written to disk; if the turn is stored, it is read from
+    /// there from now on. Returns whether its text is still needed.
+    pub fn set_location(&mut self, record: &Record, location: Location) -> bool {
+        self.disk.add(location, record.index_bytes());
+        let turn = self.turns.get_mut(record.turn());
+        let Some(text) = turn.and_then(|turn| turn.text_mut(TurnPart::of(record))) else {
+            return false;
+        };
+        let old = text.location();
+        let had_text = !matches!(text, Text::Dropped(_));
+        self.bytes -= text.memory_bytes();
+        let needed = text.place(location);
+        if let Some(old) = old {
+            self.disk.release(old, had_text);
+        }
+        self.disk.hold(location, needed);
+        needed
+    }
+
+    /// Applies a record that a start found on disk. Its text stays there.
+    pub fn restore(&mut self, now: Time, stored: StoredRecord, location: Location) {
+        let record = stored.record.with_text(Bytes::new());
+        self.apply_stored(
+            now,
+            StoredRecord {
+                record: record.clone(),
+                origin: stored.origin,
+            },
+        );
+        self.set_location(&record, location);
+    }
+
+    /// Returns the record that a compaction has to write in place of the one that was
+    /// found at `location`; `None` if that is not needed any more.
+    pub fn compacted(&self, found: StoredRecord, location: Location) -> Option<StoredRecord> {
+        let turn = self.turns.get(found.record.turn())?;
+        let text = turn.text(TurnPart::of(&found.record))?;
+        if text.location() != Some(location) {
+            return None;
+        }
+        let is_begin = matches!(found.record, Record::Begin(_));
+        let origin = turn.origin.as_deref().filter(|_| is_begin).cloned();
+        let record = match text {
+            Text::Dropped(_) => found.record.with_text(Bytes::new()),
+            Text::Memory(_) | Text::Disk(_) => found.record,
+        };
+        Some(StoredRecord { record, origin })
+    }
+
+    /// Returns what the files on disk hold.
+    pub fn disk(&self) -> &DiskUsage {
+        &self.disk
+    }
+
+    /// Forgets a file that was removed.
+    pub fn remove_segment(&mut self, segment: u64) {
+        self.disk.remove(segment);
     }
 
     /// Applies a record as it is stored, and returns whether something in it was
@@ -293,7 +558,7 @@
             Continuation::None => OriginView::Unknown,
             Continuation::Attempt(id) => {
                 let turn = self.turns.get(id).filter(|turn| &*turn.program == program);
-                turn.map_or(OriginView::Absent, Turn::origin_view)
+                turn.map_or(OriginView::Absent, |turn| turn.origin_view())
             }
             Continuation::Unnamed => self.only_origin(program, excluded),
         }
@@ -356,18 +621,24 @@
     }
 
     /// Returns a turn and its predecessors, the latest first. The chain ends
-    /// before the first turn that is not stored or for which `known` is true.
-    pub fn chain(&self, turn: &str, known: impl Fn(&str) -> bool) -> Vec<ChainLink> {
-        let mut links = Vec::new();
-        let mut next = Some(Arc::<str>::from(turn));
-        while let Some(id) = next.take_if(|id| !known(id)) {
-            let Some(link) = self.turns.get(&id).and_then(Turn::link) else {
+    /// before the first turn that is not stored.
+    pub fn chain(&self, turn: &str) -> Vec<ChainEntry> {
+        let mut entries = Vec::new();
+        let mut next = self.turns.get_key_value(turn);
+        while let Some((id, turn)) = next {
+            let Some((input, output)) = turn.texts() else {
                 break;
             };
-            next.clone_from(&link.previous);
-            links.push(link);
+            entries.push(ChainEntry {
+                turn: id.clone(),
+                previous: turn.previous.clone(),
+                input: input.clone(),
+                output: output.clone(),
+            });
+            let previous = turn.previous.as_ref();
+            next = previous.and_then(|previous| self.turns.get_key_value(previous));
         }
-        links
+        entries
     }
 
     /// Returns whether the start of a turn is stored.
@@ -379,19 +650,15 @@
     /// Returns whether a stored turn, which is complete or may become so, continues
     /// from one that is not stored.
     pub fn lacks_previous(&self) -> bool {
-        let broken_off = |turn: &Turn| turn.finish.as_ref().is_some_and(|finish| !finish.whole);
-        let turns = self.turns.values().filter(|turn| !broken_off(turn));
-        let mut begins = turns.filter_map(|turn| turn.begin.as_ref());
-        begins.any(|begin| {
-            let previous = begin.previous.as_deref();
-            previous.is_some_and(|previous| !self.has_complete(previous))
-        })
+        let turns = self.turns.values().filter(|turn| !turn.is_broken_off());
+        let mut previous = turns.filter_map(|turn| turn.previous.as_deref());
+        previous.any(|previous| !self.has_complete(previous))
     }
 
     /// Returns whether a turn is stored and complete.
     pub fn has_complete(&self, turn: &str) -> bool {
         let turn = self.turns.get(turn);
-        turn.is_some_and(|turn| turn.link().is_some())
+        turn.is_some_and(|turn| turn.texts().is_some())
     }
 
     /// Restarts the retention period of the program of a turn, because another
@@ -432,8 +699,13 @@
             let Some(turn) = self.turns.remove(&id) else {
                 continue;
             };
-            self.bytes -= turn.begin.map_or(0, |begin| begin.input.len());
-            self.bytes -= turn.finish.map_or(0, |finish| finish.output.len());
+            for text in TurnPart::ALL.into_iter().filter_map(|part| turn.text(part)) {
+                self.bytes -= text.memory_bytes();
+                if let Some(location) = text.location() {
+                    let with_text = !matches!(text, Text::Dropped(_));
+                    self.disk.release(location, with_text);
+                }
+            }
         }
     }
 
@@ -465,21 +737,40 @@
     }
 
     /// Returns all records of a program.
-    pub fn records(&self, program: &str) -> Vec<Record> {
-        let turns = self.programs.get(program).map(|program| &program.turns);
-        let mut records = Vec::new();
-        for id in turns.into_iter().flatten() {
+    pub fn entries(&self, program: &str) -> Vec<RecordEntry> {
+        let Some(program) = self.programs.get(program) else {
+            return Vec::new();
+        };
+        let mut entries = Vec::new();
+        for id in &program.turns {
             let turn = &self.turns[id];
-            records.extend(turn.begin.clone().map(Record::Begin));
-            records.extend(turn.finish.clone().map(Record::Finish));
+            if let Some(begin) = &turn.begin {
+                let record = Record::Begin(Begin {
+                    turn: id.clone(),
+                    program: program.id.clone(),
+                    previous: turn.previous.clone(),
+                    input: Bytes::new(),
+                    most: begin.most,
+                });
+                let origin = turn.origin.as_deref().cloned();
+                let stored = StoredRecord { record, origin };
+                let text = begin.input.clone();
+                entries.push(RecordEntry { stored, text });
+            }
+            if let Some(finish) = &turn.finish {
+                let record = Record::Finish(Finish {
+                    turn: id.clone(),
+                    program: program.id.clone(),
+                    output: Bytes::new(),
+                    used: finish.used,
+                    whole: finish.whole,
+                });
+                let text = finish.output.clone();
+                let stored = record.into();
+                entries.push(RecordEntry { stored, text });
+            }
         }
-        records
-    }
-
-    /// Returns all records of a program as they are stored.
-    pub fn stored(&self, program: &str) -> Vec<StoredRecord> {
-        let origins = self.origins(program);
-        with_origins(self.records(program), origins)
+        entries
     }
 
     /// Returns the origins of a program's streams.
@@ -487,7 +778,7 @@
         let turns = self.programs.get(program).map(|program| &program.turns);
         let turns = turns.into_iter().flatten();
         let origins = turns.filter_map(|id| {
-            let recorded = self.turns[id].origin.clone()?;
+            let recorded = self.turns[id].origin.as_deref().cloned()?;
             let turn = id.clone();
             Some(TurnOrigin { turn, recorded })
         });
@@ -527,7 +818,23 @@
         (digests.collect(), more)
     }
 
-    /// Returns the number of bytes of all inputs and outputs.
+    /// Returns when the program that expires first does so at the earliest, if none is
+    /// used any more; `None` if no caller's program is stored.
+    pub fn next_expiry(&self, retention: Duration) -> Option<Time> {
+        let callers = self
+            .programs
+            .values()
+            .filter(|program| request_ends::retention_of(&program.id).is_none());
+        let oldest = callers.map(|program| program.last_active).min();
+        oldest.map(|oldest| oldest + retention)
+    }
+
+    /// Returns whether records of a program are stored.
+    pub fn has_program(&self, program: &str) -> bool {
+        self.programs.contains_key(program)
+    }
+
+    /// Returns the number of bytes of the inputs and outputs in memory.
     pub fn bytes(&self) -> usize {
         self.bytes
     }
@@ -565,9 +872,3 @@
     request_ends::retention_of(record.program()).is_none()
         || matches!(record, Record::Finish(finish) if finish.used > 0)
 }
-
-fn set_if_none<T>(slot: &mut Option<T>, value: T) -> bool {
-    let new = slot.is_none();
-    slot.get_or_insert(value);
-    new
-}
--- a/lib/tests/ends_world/mod.rs
+++ b/lib/tests/ends_world/mod.rs
@@ -21,6 +21,7 @@
 use limpetferry_lib::stream_origin::OriginView;
 use limpetferry_lib::suspects::Standing;
 use limpetferry_lib::suspects::SuspectTable;
+use limpetferry_lib::text::NoDisk;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::turn_admission::NextAction;
 use limpetferry_lib::turn_admission::ReplicaEvent;
@@ -750,8 +751,9 @@
                 for &other in &others {
                     let programs: Vec<_> = self.keepers[other].ledger.programs().cloned().collect();
                     for program in programs {
-                        for record in self.keepers[other].ledger.records(&program) {
-                            self.apply(at, record);
+                        for entry in self.keepers[other].ledger.entries(&program) {
+                            let stored = entry.read(&mut NoDisk).expect("it is in memory");
+                            self.apply(at, stored.record);
                         }
                     }
                 }
--- a/lib/tests/keeper_memory.rs
+++ b/lib/tests/keeper_memory.rs
@@ -1,61 +1,75 @@
-//! A keeper's memory while turns of any size come, end, are refused and expire, and
-//! while its process starts again.
-
-use std::time::Duration;
-
-use limpetferry_lib::ledger::Begin;
-use limpetferry_lib::ledger::Finish;
-use limpetferry_lib::ledger::Ledger;
-use limpetferry_lib::ledger::Record;
-use limpetferry_lib::time::Time;
-use rand::Rng as _;
-use rand::SeedableRng as _;
-use rand::rngs::SmallRng;
-
-const SEEDS: u64 = 20;
-const TURNS: usize = 2_000;
-const LARGEST_TEXT: usize = 16 << 10;
-/// Bytes of texts that a keeper may hold in memory.
-const TEXT_BYTES: usize = 4 << 20;
-const RETENTION: Duration = Duration::from_secs(75);
-
-fn turn(rng: &mut SmallRng, number: usize) -> [Record; 2] {
-    let text = |rng: &mut SmallRng| vec![7; rng.random_range(0..LARGEST_TEXT)].into();
-    let turn = format!("turn-{number}");
-    let program = format!("program-{}", number / 3);
-    let begin = Begin {
-        turn: turn.as_str().into(),
-        program: program.as_str().into(),
-        previous: None,
-        input: text(rng),
-        most: 50,
-    };
-    let finish = Finish {
-        turn: turn.into(),
-        program: program.into(),
-        output: text(rng),
-        used: 50,
-        whole: rng.random_bool(0.8),
-    };
-    [Record::Begin(begin), Record::Finish(finish)]
+//! A keeper's memory and disk while turns of any size come, end, are refused and
+//! expire, and while its process starts again.
+
+mod keeper_world;
+
+use keeper_world::KeeperWorld;
+
+const SEEDS: u64 = 60;
+const STEPS: usize = 4_000;
+/// Steps between two looks at all turns.
+const LOOK_EVERY: usize = 400;
+/// Sizes of the largest text: bounds on the index, on both and on texts bind.
+const LARGEST_TEXTS: [usize; 3] = [0, 2 << 10, 24 << 10];
+
+fn worlds() -> impl Iterator<Item = (u64, KeeperWorld)> {
+    (0..SEEDS).map(|seed| {
+        let largest = LARGEST_TEXTS[seed as usize % LARGEST_TEXTS.len()];
+        (seed, KeeperWorld::new(seed, largest))
+    })
 }
 
-// Guards against keepers that hold the texts of all turns in memory.
+// Guards against keepers that hold the texts of all turns in memory, and that exceed
+// the memory of their VMs at each start once they have stored more.
 #[test]
-fn texts_in_memory_are_bounded_whatever_a_keeper_stores() {
-    for seed in 0..SEEDS {
-        let mut rng = SmallRng::seed_from_u64(seed);
-        let mut ledger = Ledger::default();
-        let mut now = Time::default();
-        for number in 0..TURNS {
-            now = now + Duration::from_millis(rng.random_range(0..40));
-            for record in turn(&mut rng, number) {
-                ledger.apply(now, record);
+fn memory_and_disk_are_bounded_and_no_turn_is_lost() {
+    let mut refused = 0;
+    for (seed, mut world) in worlds() {
+        for step in 0..STEPS {
+            world.step();
+
+            let broken = world.broken();
+            assert_eq!(broken, None, "seed {seed}, step {step}");
+            if step % LOOK_EVERY == 0 {
+                assert_eq!(world.lost(), None, "seed {seed}, step {step}");
             }
-            ledger.expire(now, RETENTION);
+        }
+        assert!(world.continued > 0, "seed {seed}");
+        refused += usize::from(world.refused > 0);
+    }
+    // The bounds were reached.
+    assert!(refused >= SEEDS as usize / 3, "{refused} of {SEEDS}");
+}
 
-            let bytes = ledger.bytes();
-            assert!(bytes <= TEXT_BYTES, "seed {seed}, turn {number}: {bytes}");
+// Guards against keepers that refuse turns for good once they were full.
+#[test]
+fn a_full_keeper_has_room_again_once_turns_expire() {
+    for (seed, mut world) in worlds() {
+        for _ in 0..STEPS {
+            world.step();
+        }
+        world.expire_all();
+        let (bytes, _) = world.disk_bytes();
+        let served = (0..50).all(|_| world.serves_first_turn());
+
+        assert_eq!(bytes, 0, "seed {seed}");
+        assert!(served, "seed {seed}");
+    }
+}
+
+// Guards against files of short programs that a long one holds for ever.
+#[test]
+fn files_are_freed_while_long_programs_go_on() {
+    for (seed, mut world) in worlds() {
+        for step in 0..STEPS {
+            world.step();
+            if step % LOOK_EVERY == 0 {
+                world.tidy_all();
+
+                let (bytes, live) = world.disk_bytes();
+                let bound = 4 * live + (2 << 20);
+                assert!(bytes <= bound, "seed {seed}, step {step}: {bytes}, {live}");
+            }
         }
     }
 }
--- a/lib/tests/turn_world/mod.rs
+++ b/lib/tests/turn_world/mod.rs
@@ -19,6 +19,7 @@
 use limpetferry_lib::membership::MemberState;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::stream_origin::OriginView;
+use limpetferry_lib::text::NoDisk;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::turn_admission::NextAction;
 use limpetferry_lib::turn_admission::ReplicaEvent;
@@ -808,7 +809,7 @@
             let replicas = list.replicas(program, self.faults);
             let mut places = replicas.keepers.iter();
             if places.any(|&at| list.keepers[at].node == *name) {
-                records.extend(source.ledger.records(program));
+                records.extend(records_of(&source.ledger, program));
             }
         }
         let keeper = self.keepers.get_mut(name).expect("it was named");
@@ -901,3 +902,10 @@
         Ok(())
     }
 }
+
+fn records_of(ledger: &Ledger, program: &str) -> Vec<Record> {
+    let entries = ledger.entries(program).into_iter();
+    entries
+        .map(|entry| entry.read(&mut NoDisk).expect("it is in memory").record)
+        .collect()
+}
--- a/lib/tests/version_world/mod.rs
+++ b/lib/tests/version_world/mod.rs
@@ -15,7 +15,6 @@
 use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::ledger::Record;
 use limpetferry_lib::ledger::StoredRecord;
-use limpetferry_lib::ledger::with_origins;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::server::Server;
 use limpetferry_lib::server::ServerOutcome;
@@ -25,6 +24,7 @@
 use limpetferry_lib::stream_origin::RecordedOrigin;
 use limpetferry_lib::stream_origin::StreamBinding;
 use limpetferry_lib::stream_origin::StreamOrigin;
+use limpetferry_lib::text::NoDisk;
 use limpetferry_lib::time::Time;
 use limpetferry_lib::turn_admission::NextAction;
 use limpetferry_lib::turn_admission::ReplicaEvent;
@@ -725,8 +725,10 @@
                     continue;
                 }
                 let ledger = &self.keepers[other].ledger;
-                let records = ledger.records(&theirs.program);
-                let copied = with_origins(records, ledger.origins(&theirs.program));
+                let entries = ledger.entries(&theirs.program).into_iter();
+                let copied: Vec<StoredRecord> = entries
+                    .map(|entry| entry.read(&mut NoDisk).expect("it is in memory"))
+                    .collect();
                 let keeper = &mut self.keepers[at];
                 for record in copied {
                     keeper.ledger.apply_stored(Time::default(), record.clone());
--- a/net/src/frames.rs
+++ b/net/src/frames.rs
@@ -1,6 +1,10 @@
 //! Records in a file: size, checksum, then the record. One that is torn was
 //! never acknowledged.
 
+use std::io;
+use std::io::BufReader;
+use std::io::Read;
+
 use bincode::error::DecodeError;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -44,6 +48,59 @@
     Some((decode(body).ok()?, HEAD + size))
 }
 
+/// Bytes read from a file at once.
+const READ_BYTES: usize = 64 << 10;
+
+/// Reads records one after the other, with one of them in memory at a time.
+pub struct FrameReader<R> {
+    source: BufReader<R>,
+    frame: Vec<u8>,
+    offset: u64,
+}
+
+impl<R: Read> FrameReader<R> {
+    /// Reads from the beginning of `source`.
+    pub fn new(source: R) -> Self {
+        Self {
+            source: BufReader::with_capacity(READ_BYTES, source),
+            frame: Vec::new(),
+            offset: 0,
+        }
+    }
+
+    /// Returns the next record; `None` at the end or before one that is not whole.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the source cannot be read.
+    pub fn next_record<T: DeserializeOwned>(&mut self) -> io::Result<Option<T>> {
+        self.frame.clear();
+        if !self.fill(HEAD)? {
+            return Ok(None);
+        }
+        let size = self.frame[..4].try_into().map_or(0, u32::from_be_bytes) as usize;
+        if size > MAX_RECORD || !self.fill(size)? {
+            return Ok(None);
+        }
+        let record = first(&self.frame);
+        Ok(record.map(|(record, size)| {
+            self.offset += size as u64;
+            record
+        }))
+    }
+
+    /// Returns the bytes of the records that were read.
+    pub fn offset(&self) -> u64 {
+        self.offset
+    }
+
+    /// Appends `count` bytes to the frame; returns whether there were as many.
+    fn fill(&mut self, count: usize) -> io::Result<bool> {
+        let mut part = self.source.by_ref().take(count as u64);
+        Ok(part.read_to_end(&mut self.frame)? == count)
+    }
+}
+
 /// Decodes a value of a file or a message. Fields that the writer's build does not
 /// have are missing at its end, and are read as zeros; those that only the writer's
 /// build has are ignored.
--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -7,6 +7,7 @@
 use limpetferry_lib::document::Fault;
 use limpetferry_lib::fingerprint::Fingerprinter;
 use limpetferry_lib::id::Digest;
+use limpetferry_lib::keeper_budget::MIN_MEMORY;
 use limpetferry_lib::store_watch;
 use limpetferry_lib::switches::Switches;
 use limpetferry_lib::workspace::KeyDigester;
@@ -196,6 +197,8 @@
     pub common: NodeSettings,
     /// Where turns are stored.
     pub data: DataSettings,
+    /// Memory that the VM gives the process, in megabytes.
+    pub memory_mb: u64,
     /// Whether the whole system starts for the first time, with empty disks.
     pub first: bool,
 }
@@ -204,6 +207,12 @@
     fn check(&self, faults: &mut Vec<Fault>) {
         self.common.check(faults);
         self.data.check(faults);
+        if self.memory_mb << 20 < MIN_MEMORY {
+            faults.push(Fault::new(
+                "memory_mb",
+                format!("give the VM's memory, at least {}", MIN_MEMORY >> 20),
+            ));
+        }
     }
 
     fn log(&self) -> &LogSettings {
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -13,6 +13,7 @@
 use limpetferry_lib::completeness::Copies;
 use limpetferry_lib::completeness::Removal;
 use limpetferry_lib::effect::LogEvent;
+use limpetferry_lib::keeper_budget::RecordClass;
 use limpetferry_lib::keeper_protocol::KeeperReply;
 use limpetferry_lib::keeper_protocol::KeeperRequest;
 use limpetferry_lib::ledger::ProgramDigest;
@@ -26,6 +27,7 @@
 use limpetferry_platform::store::ReplyError;
 
 use crate::disk::Job;
+use crate::disk::Listener;
 use crate::gateway_settings::KeeperSettings;
 use crate::keeper_node::Keeper;
 use crate::platform_store::PlatformError;
@@ -349,7 +351,15 @@
                 return None;
             };
             count += records.len();
-            self.keeper.keep(with_origins(records, origins), None);
+            if self.keeper.shortage(RecordClass::Stored).is_some() {
+                return None;
+            }
+            // One page at a time waits for the disk.
+            let (sender, synced) = async_channel::bounded(1);
+            let listener = Listener::Task(sender);
+            self.keeper
+                .keep(with_origins(records, origins), Some(listener));
+            synced.recv().await.ok()?;
             programs = programs.get(done..).unwrap_or(&[]);
         }
         Some(count)
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -14,14 +14,14 @@
 use limpetferry_lib::effect::LogEvent;
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::NodeId;
+use limpetferry_lib::keeper_budget::KeeperBudget;
+use limpetferry_lib::keeper_budget::RecordClass;
 use limpetferry_lib::keeper_protocol::KeeperMessage;
 use limpetferry_lib::keeper_protocol::KeeperReply;
 use limpetferry_lib::keeper_protocol::KeeperRequest;
 use limpetferry_lib::keeper_protocol::RequestId;
 use limpetferry_lib::ledger;
-use limpetferry_lib::ledger::Begin;
 use limpetferry_lib::ledger::Ledger;
-use limpetferry_lib::ledger::Presence;
 use limpetferry_lib::ledger::Record;
 use limpetferry_lib::ledger::StoredRecord;
 use limpetferry_lib::load_map::LoadMap;
@@ -30,20 +30,23 @@
 use limpetferry_lib::membership::MemberState;
 use limpetferry_lib::membership::Membership;
 use limpetferry_lib::request_ends::EndNotice;
-use limpetferry_lib::stream_origin::Continuation;
+use limpetferry_lib::text_cache::TextCache;
 use limpetferry_lib::time::Time;
-use limpetferry_lib::turn_admission::ReplicaView;
 use smol::net::TcpListener;
 
 use crate::clock::Clock;
 use crate::disk::Disk;
 use crate::disk::Job;
+use crate::disk::Listener;
 use crate::follow::Follower;
 use crate::follow::HOLD;
 use crate::gateway_settings::KeeperSettings;
 use crate::http;
 use crate::http::Bounds;
 use crate::keeper_list::KeeperList;
+use crate::keeper_reads::Reads;
+use crate::keeper_room::Room;
+use crate::keeper_state::SharedState;
 use crate::keeper_state::State;
 use crate::links::bind;
 use crate::log;
@@ -54,6 +57,8 @@
 use crate::platform_store::PlatformStore;
 use crate::reload::Live;
 use crate::replicas::Replicas;
+use crate::replies::ReplyBudget;
+use crate::replies::ReplySender;
 use crate::segments::Segments;
 use crate::site::Site;
 use crate::site_file;
@@ -61,12 +66,6 @@
 
 /// Time between looks for programs that are no longer wanted.
 const EXPIRE_EVERY: Duration = Duration::from_secs(5);
-/// How many times the live texts the disk may hold before it is written anew.
-const GARBAGE_FACTOR: u64 = 3;
-/// Bytes below which the disk is never written anew.
-const SMALL: u64 = 64 << 20;
-/// Bytes of records in one answer to a keeper that catches up.
-const PULL_BYTES: usize = 512 << 10;
 /// Time between looks whether the list of keepers has changed. It goes to disk
 /// at once: whoever starts while the store is away has to go by it.
 const LIST_EVERY: Duration = Duration::from_millis(50);
@@ -80,8 +79,8 @@
 const MAX_ENDS_REPORTED: usize = 1_024;
 /// Wait before a listener that failed is asked again.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Part of the disk's bound that is left for rewriting.
-const FULL_SHARE: u64 = 2;
+/// Questions of one link that wait while another one is answered.
+const MAX_QUESTIONS: usize = 16;
 
 /// One keeper.
 pub struct Keeper {
@@ -94,8 +93,11 @@
     /// What it knows from the platform's store.
     pub site: Arc<Site>,
     pub(crate) meters: KeeperMeters,
-    most: u64,
-    state: Mutex<State>,
+    /// What it uses of its memory and its disk.
+    pub(crate) room: Room,
+    /// The thread that reads the disk.
+    pub(crate) reads: Reads,
+    state: SharedState,
     /// Whether it hears of too few other keepers.
     cut_off: AtomicBool,
     /// Changes of the list that others asked it to make, and when.
@@ -105,7 +107,14 @@
     /// What gateways reported of load.
     loads: Mutex<LoadMap>,
     /// Gateways that want to know of requests that ended servers.
-    watchers: Mutex<Vec<(async_channel::Sender<KeeperMessage>, RequestId)>>,
+    watchers: Mutex<Vec<(ReplySender, RequestId)>>,
+}
+
+/// A process that asks a keeper.
+pub(crate) struct Asker {
+    process: ProcessStart,
+    /// Whether it understands that the keeper has no room.
+    pub(crate) understands_full: bool,
 }
 
 impl Keeper {
@@ -115,7 +124,7 @@
     ///
     /// Panics if another thread panicked while it held the lock.
     pub fn state(&self) -> MutexGuard<'_, State> {
-        self.state.lock().expect("no panic while locked")
+        self.state.lock()
     }
 
     /// Writes an event as one line.
@@ -125,11 +134,7 @@
 
     /// Takes records, and has those that are new put on disk; `tell` hears of
     /// it when all of them are there.
-    pub fn keep(
-        &self,
-        records: Vec<StoredRecord>,
-        tell: Option<(async_channel::Sender<KeeperMessage>, RequestId)>,
-    ) {
+    pub fn keep(&self, records: Vec<StoredRecord>, tell: Option<Listener>) {
         let now = self.clock.now();
         let mut state = self.state();
         let mut fresh = Vec::new();
@@ -186,23 +191,17 @@
             return;
         }
         let mut watchers = self.watchers.lock().expect("no panic while locked");
-        watchers.retain(|(sender, ticket)| {
-            let reply = KeeperReply::Ends(ends.to_vec());
-            let message = KeeperMessage::Tell(*ticket, reply);
-            sender.try_send(message).is_ok()
-        });
+        watchers.retain(|(sender, ticket)| sender.send(*ticket, KeeperReply::Ends(ends.to_vec())));
     }
 
     /// Reports all requests that ended servers, and each change from then on.
-    fn watch_ends(&self, ticket: RequestId, sender: &async_channel::Sender<KeeperMessage>) {
+    fn watch_ends(&self, ticket: RequestId, sender: &ReplySender) {
         let mut watchers = self.watchers.lock().expect("no panic while locked");
         let ends = self.state().ledger.end_notices(self.clock.now());
         let mut parts = ends.chunks(MAX_ENDS_REPORTED);
         loop {
             let part = parts.next().unwrap_or_default();
-            let reply = KeeperReply::Ends(part.to_vec());
-            // The asker may have left.
-            let _ = sender.try_send(KeeperMessage::Tell(ticket, reply));
+            sender.send(ticket, KeeperReply::Ends(part.to_vec()));
             if parts.len() == 0 {
                 break;
             }
@@ -210,10 +209,6 @@
         watchers.push((sender.clone(), ticket));
     }
 
-    fn is_full(&self) -> bool {
-        self.disk.bytes() > self.most / FULL_SHARE
-    }
-
     fn count(&self, asker: &ProcessStart, uses: &[UsageReport]) -> KeeperReply {
         let now = self.clock.now();
         let mut book = self.allowances.lock().expect("no panic while locked");
@@ -231,10 +226,10 @@
     /// Answers a question.
     fn answer(
         self: &Arc<Self>,
-        asker: &ProcessStart,
+        asker: &Asker,
         ticket: RequestId,
         question: KeeperRequest,
-        sender: &async_channel::Sender<KeeperMessage>,
+        sender: &ReplySender,
     ) {
         self.meters
             .questions
@@ -249,25 +244,21 @@
             KeeperRequest::Digests { ref membership, .. } if self.is_stale(membership.epoch) => {
                 KeeperReply::Stale(Membership::clone(&self.site.known().keepers))
             }
-            KeeperRequest::Note { .. } | KeeperRequest::End { .. } if self.is_full() => {
-                KeeperReply::Failed("the disk is full; raise data.max_mb".to_owned())
-            }
             KeeperRequest::Note {
                 begin,
                 chain,
                 origin,
                 continuation,
                 ..
-            } => {
-                let reply = self.noted(&begin, chain, &continuation);
-                // The answer goes before the sync, which hides behind the
-                // engine's reading of the prompt.
-                let _ = sender.try_send(KeeperMessage::Tell(ticket, reply));
-                let record = Record::Begin(begin);
-                let stored = StoredRecord { record, origin };
-                self.keep(vec![stored], Some((sender.clone(), ticket)));
-                return;
-            }
+            } => match self.shortage(self.class(&begin)) {
+                Some(shortage) => self.refuse(shortage, asker),
+                None => {
+                    let answer = self.noted(&begin, chain, &continuation);
+                    let record = Record::Begin(begin);
+                    let stored = StoredRecord { record, origin };
+                    return self.note_turn(answer, stored, ticket, sender);
+                }
+            },
             // Its beginning was lost with the power: an end alone is no turn.
             KeeperRequest::End {
                 begin: None,
@@ -283,13 +274,18 @@
                 origin,
                 ..
             } => {
+                if let Some(shortage) = self.shortage(RecordClass::Stored) {
+                    sender.send(ticket, self.refuse(shortage, asker));
+                    return;
+                }
                 let program = finish.program.clone();
                 let begin = begin.map(|begin| StoredRecord {
                     record: Record::Begin(begin),
                     origin,
                 });
                 let records = begin.into_iter().chain([Record::Finish(finish).into()]);
-                self.keep(records.collect(), Some((sender.clone(), ticket)));
+                let listener = Listener::Peer(sender.clone(), ticket);
+                self.keep(records.collect(), Some(listener));
                 if let Some(place) = place {
                     self.state().ledger.put_place(&program, place);
                 }
@@ -298,7 +294,7 @@
             KeeperRequest::Look { program, turn } => {
                 KeeperReply::Seen(self.view(&program, &turn, None))
             }
-            KeeperRequest::Chain { turn } => self.chain(&turn),
+            KeeperRequest::Chain { turn } => return self.answer_chain(&turn, ticket, sender),
             KeeperRequest::Digests { after, membership } => {
                 self.site.take_keepers(membership, 0);
                 let state = self.state();
@@ -309,13 +305,15 @@
                     more,
                 }
             }
-            KeeperRequest::Records { programs } => self.records(&programs),
+            KeeperRequest::Records { programs } => {
+                return self.answer_records(&programs, ticket, sender);
+            }
             KeeperRequest::List(request) => {
                 self.take_request(request);
                 KeeperReply::Taken
             }
-            KeeperRequest::Spend(uses) => self.count(asker, &uses),
-            KeeperRequest::Load(report) => self.take_load(asker, &report),
+            KeeperRequest::Spend(uses) => self.count(&asker.process, &uses),
+            KeeperRequest::Load(report) => self.take_load(&asker.process, &report),
             KeeperRequest::WatchEnds => return self.watch_ends(ticket, sender),
             KeeperRequest::Follow { after } => {
                 self.site.note_revision(after);
@@ -323,18 +321,12 @@
                 return;
             }
         };
-        // The asker may have left.
-        let _ = sender.try_send(KeeperMessage::Tell(ticket, reply));
+        sender.send(ticket, reply);
     }
 
     /// Answers with what has changed in the platform's store, as soon as
     /// something has.
-    fn follow(
-        self: Arc<Self>,
-        ticket: RequestId,
-        after: u64,
-        sender: async_channel::Sender<KeeperMessage>,
-    ) {
+    fn follow(self: Arc<Self>, ticket: RequestId, after: u64, sender: ReplySender) {
         smol::spawn(async move {
             let waiting = self.site.wait_news();
             let mut news = self.site.news(after);
@@ -347,8 +339,7 @@
                 revision: self.site.known().revision,
                 away: self.is_away(),
             });
-            // The asker may have left.
-            let _ = sender.try_send(KeeperMessage::Tell(ticket, reply));
+            sender.send(ticket, reply);
         })
         .detach();
     }
@@ -384,86 +375,22 @@
         epoch < self.site.known().keepers.epoch
     }
 
-    fn noted(&self, begin: &Begin, chain: bool, continuation: &Continuation) -> KeeperReply {
-        let (program, turn, previous) = (&begin.program, &begin.turn, begin.previous.as_deref());
-        let view = self.view(program, turn, previous);
-        let mut links = Vec::new();
-        if let Some(previous) = previous {
-            let mut state = self.state();
-            state.ledger.renew_retention(self.clock.now(), previous);
-            if chain {
-                links = state.ledger.chain(previous, |_| false);
-            }
-        }
-        let state = self.state();
-        KeeperReply::Noted {
-            view,
-            chain: links,
-            places: state.ledger.places(program).to_vec(),
-            origin: state.ledger.origin(program, turn, continuation),
-        }
-    }
-
-    fn view(&self, program: &str, turn: &str, previous: Option<&str>) -> ReplicaView {
-        let state = self.state();
-        ReplicaView {
-            whole: state.whole,
-            shares: state.ledger.usage(program, turn),
-            previous: previous.map_or(Presence::Never, |turn| state.presence(turn)),
-        }
-    }
-
-    fn chain(&self, turn: &str) -> KeeperReply {
-        let mut state = self.state();
-        state.ledger.renew_retention(self.clock.now(), turn);
-        KeeperReply::Chain {
-            presence: state.presence(turn),
-            links: state.ledger.chain(turn, |_| false),
-        }
-    }
-
-    /// Gives the records of programs, up to a bound of bytes.
-    fn records(&self, programs: &[Arc<str>]) -> KeeperReply {
-        let state = self.state();
-        let mut records = Vec::new();
-        let mut origins = Vec::new();
-        let mut bytes = 0;
-        let mut count = 0;
-        for program in programs {
-            if bytes > PULL_BYTES {
-                break;
-            }
-            let more = state.ledger.records(program);
-            bytes += more.iter().map(Record::size).sum::<usize>();
-            records.extend(more);
-            origins.extend(state.ledger.origins(program));
-            count += 1;
-        }
-        KeeperReply::Records {
-            records,
-            programs: count,
-            origins,
-        }
-    }
-
     async fn expire(self: Arc<Self>) {
         loop {
             smol::Timer::after(EXPIRE_EVERY).await;
             let retention = ledger::retention(self.site.known().routing.as_deref());
+            let now = self.clock.now();
             let mut state = self.state();
-            let dropped = state.ledger.expire(self.clock.now(), retention);
-            let live = state.ledger.bytes() as u64;
-            let on_disk = self.disk.bytes();
-            let wasteful = on_disk > SMALL && on_disk > GARBAGE_FACTOR * live;
-            if wasteful {
-                let ledger = &state.ledger;
-                let all = ledger.programs().flat_map(|program| ledger.stored(program));
-                self.disk.send(Job::Rewrite(all.collect()));
-            }
+            let dropped = state.ledger.expire(now, retention);
+            let live = state.ledger.disk().total().live_bytes;
+            self.room.set_expiry(state.ledger.next_expiry(retention));
             drop(state);
-            if dropped > 0 || wasteful {
+            let is_pressed = self.is_pressed();
+            self.disk.send(Job::Tidy { is_pressed });
+            if dropped > 0 {
                 let note = LogEvent::new("programs_expired").with("count", dropped);
-                self.note(note.with("live_bytes", live).with("disk_bytes", on_disk));
+                let note = note.with("live_bytes", live);
+                self.note(note.with("disk_bytes", self.disk.bytes()));
             }
         }
     }
@@ -471,9 +398,23 @@
     fn measure(&self) {
         let state = self.state();
         self.meters.turns.set(state.ledger.len() as i64);
-        self.meters.text_bytes.set(state.ledger.bytes() as i64);
+        let on_disk = state.ledger.disk().total();
+        let in_memory = state.ledger.bytes();
+        let cached = state.cache.bytes();
         self.meters.whole.set(i64::from(state.whole));
         drop(state);
+        let texts = on_disk.live_bytes + in_memory as u64;
+        self.meters.text_bytes.set(texts as i64);
+        let parts = [
+            ("index", on_disk.index),
+            ("cache", cached as u64),
+            ("unwritten", self.disk.unwritten()),
+            ("replies", self.reads.budget().used()),
+        ];
+        for (part, bytes) in parts {
+            let gauge = self.meters.memory.with_label_values(&[part]);
+            gauge.set(bytes as i64);
+        }
         self.meters.disk_bytes.set(self.disk.bytes() as i64);
         self.meters.disk_waiting.set(self.disk.waiting() as i64);
         let known = self.site.known();
@@ -517,7 +458,8 @@
     }
 
     async fn serve(self: Arc<Self>, stream: smol::net::TcpStream, hello: &Hello) {
-        let link = match peer::accept(stream, hello).await {
+        let window = self.room.budget().link_window();
+        let link = match peer::accept(stream, hello, window).await {
             Ok(link) => link,
             Err(error) => {
                 self.note(LogEvent::new("link_refused").with("why", error));
@@ -525,13 +467,16 @@
             }
         };
         let peer = link.peer.node.clone();
-        let asker = ProcessStart {
-            node: peer.as_str().into(),
-            boot: link.peer.boot,
+        let asker = Asker {
+            process: ProcessStart {
+                node: peer.as_str().into(),
+                boot: link.peer.boot,
+            },
+            understands_full: link.peer.understands_full(),
         };
         self.note(LogEvent::new("link_up").with("peer", &peer));
-        let (sender, outgoing) = async_channel::unbounded();
-        let (incoming, questions) = async_channel::unbounded();
+        let (sender, outgoing) = ReplySender::channel();
+        let (incoming, questions) = async_channel::bounded(MAX_QUESTIONS);
         let answering = async {
             while let Ok(message) = questions.recv().await {
                 if let KeeperMessage::Ask(ticket, question) = message {
@@ -560,10 +505,14 @@
     let common = &settings.common;
     let folder = &settings.data.folder;
     let most = settings.data.most << 20;
-    let (mut segments, found) = Segments::open(folder, most)?;
+    let budget = KeeperBudget::new(settings.memory_mb << 20, most);
     let clock = Clock::default();
     let now = clock.now();
-    let empty = found.records.is_empty() && found.torn == 0;
+    let mut ledger = Ledger::default();
+    let (mut segments, found) = Segments::open(folder, most, |stored, location| {
+        ledger.restore(now, stored, location);
+    })?;
+    let empty = found.is_empty();
     let whole = found.whole || (settings.first && empty);
     if whole && !found.whole {
         segments.set_whole()?;
@@ -572,15 +521,20 @@
         &common.node,
         &LogEvent::new("started")
             .with("role", "keeper")
-            .with("records", found.records.len())
+            .with("records", found.records)
             .with("torn_bytes", found.torn)
+            .with("disk_bytes", segments.bytes())
+            .with("index_bytes", ledger.disk().total().index)
             .with("whole", whole)
             .with("first", settings.first),
     );
-    let mut ledger = Ledger::default();
-    for record in found.records {
-        ledger.apply_stored(now, record);
-    }
+    let state = SharedState::new(State {
+        ledger,
+        cache: TextCache::new(budget.cache as usize),
+        whole,
+        listed: false,
+    });
+    let replies = ReplyBudget::new(budget.replies);
     let (changed, _changes) = async_channel::bounded(1);
     let site = Site::new(&common.node, clock, common.key_digester(), changed);
     if let Some(snapshot) = site_file::read(folder) {
@@ -589,14 +543,11 @@
     let keeper = Arc::new(Keeper {
         node: common.node.clone(),
         clock,
-        disk: Disk::start(&common.node, folder.clone(), segments)?,
+        disk: Disk::start(&common.node, folder.clone(), segments, state.clone())?,
+        reads: Reads::start(&common.node, folder.clone(), state.clone(), replies)?,
         meters: KeeperMeters::new()?,
-        most,
-        state: Mutex::new(State {
-            ledger,
-            whole,
-            listed: false,
-        }),
+        room: Room::new(budget),
+        state,
         cut_off: false.into(),
         requests: Mutex::default(),
         allowances: Mutex::new(AllowanceCounter::new(
--- /dev/null
+++ b/net/src/keeper_reads.rs
@@ -0,0 +1,347 @@
+//! Histories and copies that a keeper reads and sends.
+//!
+//! What is in memory is answered at once. The rest is read by a thread of its own, one
+//! answer after the other. Memory for an answer is reserved before it is read, and
+//! until the link has taken it.
+
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use limpetferry_lib::effect::LogEvent;
+use limpetferry_lib::keeper_protocol::KeeperReply;
+use limpetferry_lib::keeper_protocol::RequestId;
+use limpetferry_lib::ledger::Begin;
+use limpetferry_lib::ledger::ChainEntry;
+use limpetferry_lib::ledger::ChainLink;
+use limpetferry_lib::ledger::Presence;
+use limpetferry_lib::ledger::Record;
+use limpetferry_lib::ledger::RecordEntry;
+use limpetferry_lib::ledger::StoredRecord;
+use limpetferry_lib::ledger::TurnOrigin;
+use limpetferry_lib::place::Place;
+use limpetferry_lib::stream_origin::Continuation;
+use limpetferry_lib::stream_origin::OriginView;
+use limpetferry_lib::text::NoDisk;
+use limpetferry_lib::text::TextError;
+use limpetferry_lib::text::TextSource;
+use limpetferry_lib::turn_admission::ReplicaView;
+
+use crate::disk::Job;
+use crate::disk::Listener;
+use crate::keeper_node::Keeper;
+use crate::keeper_state::SharedState;
+use crate::log;
+use crate::replies::ReplyBudget;
+use crate::replies::ReplySender;
+use crate::replies::Reservation;
+use crate::segments::SegmentTexts;
+
+/// Bytes of texts in one answer to a keeper that catches up.
+const PULL_BYTES: usize = 512 << 10;
+/// How often a read is tried whose records were moved by a compaction meanwhile.
+const MAX_READS: usize = 4;
+
+type Deliver<T> = Box<dyn FnOnce(Result<T, TextError>) + Send>;
+
+/// What the thread is asked to read.
+enum ReadJob {
+    /// A turn and its predecessors.
+    Chain {
+        turn: Arc<str>,
+        deliver: Deliver<Vec<ChainLink>>,
+    },
+    /// All records of programs.
+    Records {
+        programs: Vec<Arc<str>>,
+        deliver: Deliver<Vec<StoredRecord>>,
+    },
+}
+
+/// Hands reads to the thread.
+pub struct Reads {
+    jobs: async_channel::Sender<ReadJob>,
+    budget: ReplyBudget,
+}
+
+impl Reads {
+    /// Starts the thread.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if no thread can be started.
+    pub fn start(
+        node: &str,
+        folder: PathBuf,
+        state: SharedState,
+        budget: ReplyBudget,
+    ) -> std::io::Result<Self> {
+        let (jobs, queue) = async_channel::unbounded();
+        let reader = Reader {
+            node: node.to_owned(),
+            folder,
+            state,
+        };
+        std::thread::Builder::new()
+            .name("reads".to_owned())
+            .spawn(move || {
+                while let Ok(job) = queue.recv_blocking() {
+                    reader.read(job);
+                }
+            })?;
+        Ok(Self { jobs, budget })
+    }
+
+    /// Returns the bound on what is read and sent.
+    pub fn budget(&self) -> &ReplyBudget {
+        &self.budget
+    }
+
+    fn send(&self, job: ReadJob) {
+        // The thread ends only with the process.
+        let _ = self.jobs.try_send(job);
+    }
+}
+
+struct Reader {
+    node: String,
+    folder: PathBuf,
+    state: SharedState,
+}
+
+impl Reader {
+    fn read(&self, job: ReadJob) {
+        match job {
+            ReadJob::Chain { turn, deliver } => {
+                let look_up = || self.state.lock().chain(&turn);
+                deliver(self.read_all(look_up, ChainEntry::read));
+            }
+            ReadJob::Records { programs, deliver } => {
+                let look_up = || {
+                    let state = self.state.lock();
+                    let each = programs.iter().flat_map(|program| state.entries(program));
+                    each.collect::<Vec<RecordEntry>>()
+                };
+                deliver(self.read_all(look_up, RecordEntry::read));
+            }
+        }
+    }
+
+    /// Looks entries up and reads each of them, again if a compaction moved one.
+    fn read_all<E, T>(
+        &self,
+        look_up: impl Fn() -> Vec<E>,
+        read: impl Fn(E, &mut dyn TextSource) -> Result<T, TextError>,
+    ) -> Result<Vec<T>, TextError> {
+        let mut tries = 0;
+        loop {
+            let mut texts = SegmentTexts::new(&self.folder);
+            let entries = look_up().into_iter();
+            let done: Result<Vec<T>, TextError> =
+                entries.map(|entry| read(entry, &mut texts)).collect();
+            tries += 1;
+            match done {
+                Err(TextError::Moved(_)) if tries < MAX_READS => {}
+                Err(error) => {
+                    let note = LogEvent::new("text_unreadable").with("why", &error);
+                    log::note(&self.node, &note);
+                    return Err(error);
+                }
+                done => return done,
+            }
+        }
+    }
+}
+
+/// The answer to a keeper's first question about a turn, without the history.
+pub(crate) struct NotedAnswer {
+    view: ReplicaView,
+    places: Vec<Place>,
+    origin: OriginView,
+    /// The turn from which it continues, if its history was asked for.
+    previous: Option<Arc<str>>,
+}
+
+impl NotedAnswer {
+    fn with_chain(self, chain: Vec<ChainLink>) -> KeeperReply {
+        KeeperReply::Noted {
+            view: self.view,
+            chain,
+            places: self.places,
+            origin: self.origin,
+        }
+    }
+}
+
+impl Keeper {
+    /// Answers what is known of a turn's program.
+    pub(crate) fn noted(
+        &self,
+        begin: &Begin,
+        chain: bool,
+        continuation: &Continuation,
+    ) -> NotedAnswer {
+        let (program, turn, previous) = (&begin.program, &begin.turn, begin.previous.as_deref());
+        let view = self.view(program, turn, previous);
+        let mut state = self.state();
+        if let Some(previous) = previous {
+            state.ledger.renew_retention(self.clock.now(), previous);
+        }
+        NotedAnswer {
+            view,
+            places: state.ledger.places(program).to_vec(),
+            origin: state.ledger.origin(program, turn, continuation),
+            previous: begin.previous.clone().filter(|_| chain),
+        }
+    }
+
+    /// Records the start of a turn, and answers with its history. The answer goes before
+    /// the sync, which hides behind the engine's reading of the prompt.
+    pub(crate) fn note_turn(
+        &self,
+        answer: NotedAnswer,
+        record: StoredRecord,
+        ticket: RequestId,
+        sender: &ReplySender,
+    ) {
+        let listener = Listener::Peer(sender.clone(), ticket);
+        let previous = answer.previous.clone();
+        let entries = previous.as_deref().map(|turn| self.state().chain(turn));
+        let entries = entries.unwrap_or_default();
+        // Without room for the history the asker gets it by a question of its own.
+        let reserved = self.reserve(&entries).filter(|_| !entries.is_empty());
+        let Some(reservation) = reserved else {
+            sender.send(ticket, answer.with_chain(Vec::new()));
+            return self.keep(vec![record], Some(listener));
+        };
+        if let Some(links) = read_in_memory(&entries) {
+            sender.send_reserved(ticket, answer.with_chain(links), Some(reservation));
+            return self.keep(vec![record], Some(listener));
+        }
+        self.keep(vec![record], None);
+        let (sender, disk) = (sender.clone(), self.disk.clone());
+        let deliver = move |links: Result<Vec<ChainLink>, TextError>| {
+            let reply = answer.with_chain(links.unwrap_or_default());
+            sender.send_reserved(ticket, reply, Some(reservation));
+            // The record was handed over before; the asker expects this answer second.
+            disk.send(Job::Keep {
+                records: Vec::new(),
+                tell: Some(listener),
+            });
+        };
+        self.reads.send(ReadJob::Chain {
+            turn: previous.unwrap_or_default(),
+            deliver: Box::new(deliver),
+        });
+    }
+
+    /// Answers with a turn and its predecessors.
+    pub(crate) fn answer_chain(&self, turn: &Arc<str>, ticket: RequestId, sender: &ReplySender) {
+        let mut state = self.state();
+        state.ledger.renew_retention(self.clock.now(), turn);
+        let presence = state.presence(turn);
+        let entries = state.chain(turn);
+        drop(state);
+        let reply = move |links| KeeperReply::Chain { presence, links };
+        let Some(reservation) = self.reserve(&entries) else {
+            let why = "too many histories are read at once; ask again".to_owned();
+            sender.send(ticket, KeeperReply::Failed(why));
+            return;
+        };
+        if let Some(links) = read_in_memory(&entries) {
+            sender.send_reserved(ticket, reply(links), Some(reservation));
+            return;
+        }
+        let sender = sender.clone();
+        let deliver = move |links: Result<Vec<ChainLink>, TextError>| {
+            let reply = links.map_or_else(|error| KeeperReply::Failed(error.to_string()), reply);
+            sender.send_reserved(ticket, reply, Some(reservation));
+        };
+        self.reads.send(ReadJob::Chain {
+            turn: turn.clone(),
+            deliver: Box::new(deliver),
+        });
+    }
+
+    /// Answers with the records of the first of some programs, up to a bound of bytes.
+    pub(crate) fn answer_records(
+        &self,
+        programs: &[Arc<str>],
+        ticket: RequestId,
+        sender: &ReplySender,
+    ) {
+        let mut bytes = 0;
+        let mut wanted = Vec::new();
+        for program in programs {
+            let entries = self.state().ledger.entries(program);
+            bytes += entries.iter().map(|entry| entry.text.size()).sum::<usize>();
+            wanted.push(program.clone());
+            if bytes > PULL_BYTES {
+                break;
+            }
+        }
+        let Some(reservation) = self.reads.budget().reserve(bytes) else {
+            let why = "too many copies are read at once; ask again".to_owned();
+            sender.send(ticket, KeeperReply::Failed(why));
+            return;
+        };
+        let count = wanted.len();
+        let sender = sender.clone();
+        let deliver = move |records: Result<Vec<StoredRecord>, TextError>| {
+            let reply = records.map_or_else(
+                |error| KeeperReply::Failed(error.to_string()),
+                |records| copies(records, count),
+            );
+            sender.send_reserved(ticket, reply, Some(reservation));
+        };
+        self.reads.send(ReadJob::Records {
+            programs: wanted,
+            deliver: Box::new(deliver),
+        });
+    }
+
+    pub(crate) fn view(&self, program: &str, turn: &str, previous: Option<&str>) -> ReplicaView {
+        let state = self.state();
+        ReplicaView {
+            whole: state.whole,
+            shares: state.ledger.usage(program, turn),
+            previous: previous.map_or(Presence::Never, |turn| state.presence(turn)),
+        }
+    }
+
+    fn reserve(&self, entries: &[ChainEntry]) -> Option<Reservation> {
+        let bytes = entries.iter().map(ChainEntry::size).sum();
+        let reservation = self.reads.budget().reserve(bytes);
+        if reservation.is_none() && !self.reads.budget().could_hold(bytes) {
+            let note = LogEvent::new("history_too_long").with("bytes", bytes);
+            self.note(note.with("remedy", "raise memory_mb"));
+        }
+        reservation
+    }
+}
+
+/// Returns the turns of a chain if all their texts are in memory.
+fn read_in_memory(entries: &[ChainEntry]) -> Option<Vec<ChainLink>> {
+    if entries.iter().any(ChainEntry::is_on_disk) {
+        return None;
+    }
+    let links = entries.iter().cloned().map(|entry| entry.read(&mut NoDisk));
+    links.collect::<Result<Vec<ChainLink>, TextError>>().ok()
+}
+
+/// Makes the answer with all records of `programs` programs.
+fn copies(stored: Vec<StoredRecord>, programs: usize) -> KeeperReply {
+    let mut records = Vec::with_capacity(stored.len());
+    let mut origins = Vec::new();
+    for StoredRecord { record, origin } in stored {
+        if let (Record::Begin(begin), Some(recorded)) = (&record, origin) {
+            let turn = begin.turn.clone();
+            origins.push(TurnOrigin { turn, recorded });
+        }
+        records.push(record);
+    }
+    KeeperReply::Records {
+        records,
+        programs,
+        origins,
+    }
+}
--- a/net/src/keeper_state.rs
+++ b/net/src/keeper_state.rs
@@ -1,12 +1,21 @@
 //! The state that a keeper answers from.
 
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+
+use limpetferry_lib::ledger::ChainEntry;
 use limpetferry_lib::ledger::Ledger;
 use limpetferry_lib::ledger::Presence;
+use limpetferry_lib::ledger::RecordEntry;
+use limpetferry_lib::text_cache::TextCache;
 
 /// The turns of a keeper, and what it may say of those that it does not have.
 pub struct State {
     /// The turns.
     pub ledger: Ledger,
+    /// The newest texts that are on disk.
+    pub cache: TextCache,
     /// Whether it has all that it ever acknowledged.
     pub whole: bool,
     /// Whether it is a member by a list that was read from the store since the process
@@ -25,4 +34,43 @@
             Presence::Unsure
         }
     }
+
+    /// Returns a turn and its predecessors, with the texts that are in memory.
+    pub fn chain(&self, turn: &str) -> Vec<ChainEntry> {
+        let mut chain = self.ledger.chain(turn);
+        for entry in &mut chain {
+            entry.input = self.cache.look_up(entry.input.clone());
+            entry.output = self.cache.look_up(entry.output.clone());
+        }
+        chain
+    }
+
+    /// Returns the records of a program, with the texts that are in memory.
+    pub fn entries(&self, program: &str) -> Vec<RecordEntry> {
+        let mut entries = self.ledger.entries(program);
+        for entry in &mut entries {
+            entry.text = self.cache.look_up(entry.text.clone());
+        }
+        entries
+    }
+}
+
+/// The state, shared with the threads that write and read the disk.
+#[derive(Clone)]
+pub struct SharedState(Arc<Mutex<State>>);
+
+impl SharedState {
+    /// Shares a state.
+    pub fn new(state: State) -> Self {
+        Self(Arc::new(Mutex::new(state)))
+    }
+
+    /// Returns the state, locked.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn lock(&self) -> MutexGuard<'_, State> {
+        self.0.lock().expect("no panic while locked")
+    }
 }
--- a/net/src/links.rs
+++ b/net/src/links.rs
@@ -117,7 +117,7 @@
             };
             let this = self.clone();
             smol::spawn(async move {
-                match peer::accept(stream, &this.hello).await {
+                match peer::accept(stream, &this.hello, peer::WINDOW).await {
                     Ok(link) => this.carry(link).await,
                     Err(error) => log::warn!("event=link_refused why={:?}", error.to_string()),
                 }
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -6,6 +6,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 
@@ -43,6 +44,12 @@
         Ok(gauge)
     }
 
+    fn gauges(&self, name: &str, help: &str, label: &str) -> prometheus::Result<IntGaugeVec> {
+        let gauge = IntGaugeVec::new(Opts::new(name, help), &[label])?;
+        self.registry.register(Box::new(gauge.clone()))?;
+        Ok(gauge)
+    }
+
     fn seconds(&self, name: &str, help: &str) -> prometheus::Result<Histogram> {
         let opts = HistogramOpts::new(name, help).buckets(SECONDS.to_vec());
         let histogram = Histogram::with_opts(opts)?;
@@ -223,6 +230,12 @@
     pub text_bytes: IntGauge,
     /// Bytes on disk.
     pub disk_bytes: IntGauge,
+    /// Bytes of memory by part of the budget.
+    pub memory: IntGaugeVec,
+    /// Whether turns are refused for lack of room.
+    pub full: IntGauge,
+    /// Records that were refused for lack of room, by what was short.
+    pub refused: IntCounterVec,
     /// Jobs that wait for the disk.
     pub disk_waiting: IntGauge,
     /// Whether everything that was ever acknowledged is here.
@@ -248,6 +261,13 @@
             turns: make.gauge("turns", "Turns held")?,
             text_bytes: make.gauge("turn_text_bytes", "Bytes of the texts of turns")?,
             disk_bytes: make.gauge("disk_bytes", "Bytes on disk")?,
+            memory: make.gauges("memory_bytes", "Memory by part of the budget", "part")?,
+            full: make.gauge("full", "Whether turns are refused for lack of room")?,
+            refused: make.counters(
+                "records_refused_total",
+                "Records refused for lack of room",
+                "short",
+            )?,
             disk_waiting: make.gauge("disk_jobs_waiting", "Jobs that wait for the disk")?,
             whole: make.gauge("whole", "Whether nothing acknowledged is missing here")?,
             epoch: make.gauge("keepers_epoch", "Epoch of the list of keepers")?,
--- a/net/src/peer.rs
+++ b/net/src/peer.rs
@@ -25,6 +25,7 @@
 use limpetferry_lib::message::Message;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
 use smol::net::TcpStream;
 use thiserror::Error;
 use tokio_util::compat::FuturesAsyncReadCompatExt as _;
@@ -38,7 +39,7 @@
 /// Messages that wait for one link; above it the link is given up.
 pub const MAX_WAITING: usize = 65_536;
 /// Bytes under way before the other end has read them.
-const WINDOW: u32 = 8 << 20;
+pub const WINDOW: u32 = 8 << 20;
 /// Bytes written at once.
 const BATCH: usize = 256 << 10;
 /// Wait for a connection. An opening packet that comes while the other VM
@@ -82,7 +83,7 @@
 }
 
 /// Messages that this code understands; larger numbers are later ones.
-const DIALECT: u32 = 3;
+const DIALECT: u32 = 4;
 
 /// What both ends say first.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -124,6 +125,11 @@
     pub fn reports_ends(&self) -> bool {
         self.dialect >= 3
     }
+
+    /// Returns whether the process understands that a keeper has no room.
+    pub fn understands_full(&self) -> bool {
+        self.dialect >= 4
+    }
 }
 
 /// Decodes the first frame of a link.
@@ -135,23 +141,37 @@
     decode(frame)
 }
 
-/// A message that a link carries.
-pub trait Wire: Serialize + for<'de> Deserialize<'de> {
+/// A message that is sent over a link.
+pub trait Outgoing: Serialize {
+    /// What is held until the transport has taken the message.
+    type Held;
+
     /// Returns whether somebody waits for what it asks or says, so that a
     /// silent link has to be found soon.
     fn is_work(&self) -> bool;
+
+    /// Drops the message after it was encoded, but for what is held.
+    fn into_held(self) -> Self::Held;
 }
 
-impl Wire for Message {
+impl Outgoing for Message {
+    type Held = ();
+
     fn is_work(&self) -> bool {
         !matches!(self, Self::Beat(_))
     }
+
+    fn into_held(self) {}
 }
 
-impl Wire for KeeperMessage {
+impl Outgoing for KeeperMessage {
+    type Held = ();
+
     fn is_work(&self) -> bool {
         true
     }
+
+    fn into_held(self) {}
 }
 
 /// A link that has said hello.
@@ -209,22 +229,23 @@
     })
 }
 
-/// Takes a connection that another process dialled, and says hello.
+/// Takes a connection that another process dialled, and says hello. At most `window`
+/// bytes are under way to this process before it has read them.
 ///
 /// # Errors
 ///
 /// Returns a [`LinkError`] if the other end has another key or breaks off.
-pub async fn accept(stream: TcpStream, hello: &Hello) -> Result<Link, LinkError> {
-    within(DIAL_WAIT, accept_now(stream, hello))
+pub async fn accept(stream: TcpStream, hello: &Hello, window: u32) -> Result<Link, LinkError> {
+    within(DIAL_WAIT, accept_now(stream, hello, window))
         .await
         .ok_or(LinkError::Closed)?
 }
 
-async fn accept_now(stream: TcpStream, hello: &Hello) -> Result<Link, LinkError> {
+async fn accept_now(stream: TcpStream, hello: &Hello, window: u32) -> Result<Link, LinkError> {
     let _ = stream.set_nodelay(true);
     let mut connection = h2::server::Builder::new()
-        .initial_window_size(WINDOW)
-        .initial_connection_window_size(WINDOW)
+        .initial_window_size(window)
+        .initial_connection_window_size(window)
         .max_concurrent_streams(1)
         .handshake::<_, Bytes>(Stream::new(stream).compat())
         .await?;
@@ -257,11 +278,11 @@
 impl Link {
     /// Carries messages both ways until the link ends, and says why it did.
     /// Those that come go to `incoming`, each made an event by `wrap`.
-    pub async fn run<M: Wire, E>(
+    pub async fn run<O: Outgoing, I: DeserializeOwned, E>(
         self,
-        outgoing: async_channel::Receiver<M>,
+        outgoing: async_channel::Receiver<O>,
         incoming: &async_channel::Sender<E>,
-        wrap: impl Fn(M) -> E,
+        wrap: impl Fn(I) -> E,
     ) -> LinkError {
         let Self {
             mut send,
@@ -282,7 +303,7 @@
                 match recv
                     .next()
                     .await
-                    .and_then(|frame| frame.map(|frame| decode::<M>(&frame)).transpose())
+                    .and_then(|frame| frame.map(|frame| decode::<I>(&frame)).transpose())
                 {
                     Ok(Some(message)) => {
                         let _ = incoming.send(wrap(message)).await;
@@ -322,9 +343,9 @@
     }
 }
 
-async fn write_all<M: Wire>(
+async fn write_all<O: Outgoing>(
     send: &mut SendStream<Bytes>,
-    outgoing: &async_channel::Receiver<M>,
+    outgoing: &async_channel::Receiver<O>,
     work: &AtomicU64,
 ) -> Result<(), LinkError> {
     while let Ok(message) = outgoing.recv().await {
@@ -333,11 +354,13 @@
         }
         let mut batch = BytesMut::new();
         append(&mut batch, &message)?;
+        let mut held = vec![message.into_held()];
         while batch.len() < BATCH {
             let Ok(message) = outgoing.try_recv() else {
                 break;
             };
             append(&mut batch, &message)?;
+            held.push(message.into_held());
         }
         write(send, batch.freeze()).await?;
     }
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -330,6 +330,10 @@
                 program.map_or(RETRY_KEEPERS, |program| self.gateway.retry_after(program)),
                 "too few keepers are within reach here; come back",
             ),
+            TurnRefusal::Full(retry) => Refusal::later(
+                retry,
+                "the keepers have no room for another turn; come back",
+            ),
         })?;
         self.reach(Step::Opened);
         let mut known = self.gateway.site.known();
--- a/net/src/segments.rs
+++ b/net/src/segments.rs
@@ -1,27 +1,34 @@
-//! Records of turns on a keeper's disk: files to which records are appended,
-//! and which are dropped whole when nothing in them is wanted any more.
+//! Records of turns on a keeper's disk: files to which records are appended, and
+//! which are removed whole when nothing in them is needed any more.
 //!
-//! A record counts as kept once `sync` has returned after it. A record that is
+//! A record counts as stored once `sync` has returned after it. A record that is
 //! torn at the end of a file was never acknowledged, and is cut off.
 
+use std::collections::HashMap;
 use std::fs;
 use std::fs::File;
 use std::fs::OpenOptions;
 use std::io;
 use std::io::Write as _;
+use std::os::unix::fs::FileExt as _;
 use std::path::Path;
 use std::path::PathBuf;
 
+use bytes::Bytes;
 use limpetferry_lib::keeper_protocol::Snapshot;
 use limpetferry_lib::ledger::StoredRecord;
+use limpetferry_lib::text::Location;
+use limpetferry_lib::text::TextError;
+use limpetferry_lib::text::TextSource;
 use thiserror::Error;
 
 use crate::frames;
+use crate::frames::FrameReader;
 use crate::site_file;
 
-/// End of the names of files with records.
+/// Suffix of the files with records.
 const SUFFIX: &str = ".turns";
-/// File that says that the keeper has all that it ever acknowledged.
+/// File that exists if the keeper has all that it ever acknowledged.
 const WHOLE: &str = "whole";
 /// Size at which a new file is begun, small against the disks of 420 MB and
 /// more, and large against a second's 2 MB.
@@ -44,14 +51,21 @@
 /// What was found in the folder.
 #[derive(Debug, Default)]
 pub struct Found {
-    /// The records, oldest first.
-    pub records: Vec<StoredRecord>,
+    /// Number of records.
+    pub records: u64,
     /// Whether the keeper has all that it ever acknowledged.
     pub whole: bool,
     /// Bytes that were cut off.
     pub torn: u64,
 }
 
+impl Found {
+    /// Returns whether there is no record, nor a part of one.
+    pub fn is_empty(&self) -> bool {
+        self.records == 0 && self.torn == 0
+    }
+}
+
 #[derive(Debug)]
 struct Segment {
     number: u64,
@@ -66,15 +80,21 @@
     file: File,
     current: Segment,
     older: Vec<Segment>,
+    has_unsynced: bool,
 }
 
 impl Segments {
-    /// Opens the folder, reads what is there and begins a new file.
+    /// Opens the folder, passes each record there to `take`, oldest first, and begins a
+    /// new file. One record at a time is in memory.
     ///
     /// # Errors
     ///
     /// Returns a [`SegmentError`] if the folder cannot be used.
-    pub fn open(folder: &Path, most: u64) -> Result<(Self, Found), SegmentError> {
+    pub fn open(
+        folder: &Path,
+        most: u64,
+        mut take: impl FnMut(StoredRecord, Location),
+    ) -> Result<(Self, Found), SegmentError> {
         let fail = |error| SegmentError::Io(folder.to_owned(), error);
         let mut found = Found {
             whole: folder.join(WHOLE).exists(),
@@ -83,13 +103,16 @@
         let mut older = Vec::new();
         for number in numbers(folder).map_err(fail)? {
             let path = path(folder, number);
-            let bytes = fs::read(&path).map_err(|error| SegmentError::Io(path.clone(), error))?;
-            let good = read_records(&bytes, &mut found.records);
-            found.torn += (bytes.len() - good) as u64;
-            older.push(Segment {
-                number,
-                bytes: good as u64,
-            });
+            let fail = |error| SegmentError::Io(path.clone(), error);
+            let mut records = SegmentReader::open(folder, number).map_err(fail)?;
+            while let Some((record, location)) = records.next_record().map_err(fail)? {
+                found.records += 1;
+                take(record, location);
+            }
+            let bytes = records.offset();
+            let size = fs::metadata(&path).map_err(fail)?.len();
+            found.torn += size.saturating_sub(bytes);
+            older.push(Segment { number, bytes });
         }
         let next = older.last().map_or(1, |segment| segment.number + 1);
         let (file, current) = create(folder, next)?;
@@ -99,32 +122,45 @@
             file,
             current,
             older,
+            has_unsynced: false,
         };
         Ok((segments, found))
     }
 
-    /// Appends records; they count once [`Segments::sync`] has returned.
+    /// Appends records and returns where they are; they count once [`Segments::sync`]
+    /// has returned.
     ///
     /// # Errors
     ///
     /// Returns a [`SegmentError`] if they cannot be written.
-    pub fn append(&mut self, records: &[StoredRecord]) -> Result<(), SegmentError> {
+    pub fn append(&mut self, records: &[StoredRecord]) -> Result<Vec<Location>, SegmentError> {
         let mut batch = Vec::new();
-        for record in records {
-            frames::append(record, &mut batch).map_err(SegmentError::Record)?;
+        let mut locations = Vec::with_capacity(records.len());
+        if self.current.bytes >= SEGMENT_BYTES {
+            self.rotate()?;
+        }
+        for stored in records {
+            let start = batch.len();
+            frames::append(stored, &mut batch).map_err(SegmentError::Record)?;
+            locations.push(Location {
+                segment: self.current.number,
+                offset: (self.current.bytes + start as u64) as u32,
+                size: (batch.len() - start) as u32,
+                text: stored.record.text().len() as u32,
+            });
         }
         let whole = self.bytes() + batch.len() as u64;
         if whole > self.most {
             return Err(SegmentError::Full(whole, self.most));
         }
-        if self.current.bytes >= SEGMENT_BYTES {
-            self.rotate()?;
+        if !batch.is_empty() {
+            self.has_unsynced = true;
         }
         self.file
             .write_all(&batch)
             .map_err(|error| self.fail(error))?;
         self.current.bytes += batch.len() as u64;
-        Ok(())
+        Ok(locations)
     }
 
     /// Waits until all that was appended is on disk.
@@ -133,7 +169,11 @@
     ///
     /// Returns a [`SegmentError`] if the disk fails.
     pub fn sync(&mut self) -> Result<(), SegmentError> {
-        self.file.sync_data().map_err(|error| self.fail(error))
+        if self.has_unsynced {
+            self.file.sync_data().map_err(|error| self.fail(error))?;
+            self.has_unsynced = false;
+        }
+        Ok(())
     }
 
     /// Notes on disk that the keeper has all that it ever acknowledged.
@@ -167,43 +207,138 @@
         older + self.current.bytes
     }
 
-    /// Begins a new file, and returns the number of older ones.
+    /// Returns the number of the file to which records are appended.
+    pub fn current(&self) -> u64 {
+        self.current.number
+    }
+
+    /// Begins a new file.
     ///
     /// # Errors
     ///
     /// Returns a [`SegmentError`] if the disk fails.
-    pub fn rotate(&mut self) -> Result<usize, SegmentError> {
+    pub fn rotate(&mut self) -> Result<(), SegmentError> {
         self.sync()?;
         let (file, segment) = create(&self.folder, self.current.number + 1)?;
         self.file = file;
         self.older
             .push(std::mem::replace(&mut self.current, segment));
-        Ok(self.older.len())
+        Ok(())
     }
 
-    /// Writes `live` anew and removes all files that were begun before.
+    /// Removes an older file, after a sync of what was appended: records of it may have
+    /// been written again.
     ///
     /// # Errors
     ///
     /// Returns a [`SegmentError`] if the disk fails; nothing is lost then.
-    pub fn rewrite(&mut self, live: &[StoredRecord]) -> Result<(), SegmentError> {
-        let old = self.rotate()?;
-        let most = std::mem::replace(&mut self.most, u64::MAX);
-        let written = self.append(live).and_then(|()| self.sync());
-        self.most = most;
-        written?;
-        for segment in self.older.drain(..old) {
-            let path = path(&self.folder, segment.number);
-            fs::remove_file(&path).map_err(|error| SegmentError::Io(path, error))?;
-        }
+    pub fn remove(&mut self, number: u64) -> Result<(), SegmentError> {
+        self.sync()?;
+        let Some(at) = self.older.iter().position(|older| older.number == number) else {
+            return Ok(());
+        };
+        let path = path(&self.folder, number);
+        fs::remove_file(&path).map_err(|error| SegmentError::Io(path, error))?;
+        self.older.remove(at);
         Ok(())
     }
 
+    /// Reads an older file from its beginning.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`SegmentError`] if it cannot be opened.
+    pub fn read(&self, number: u64) -> Result<SegmentReader, SegmentError> {
+        SegmentReader::open(&self.folder, number).map_err(|error| self.read_error(number, error))
+    }
+
+    /// Makes the error of a file that cannot be read.
+    pub(crate) fn read_error(&self, number: u64, error: io::Error) -> SegmentError {
+        SegmentError::Io(path(&self.folder, number), error)
+    }
+
     fn fail(&self, error: io::Error) -> SegmentError {
         SegmentError::Io(self.folder.clone(), error)
     }
 }
 
+/// Reads the records of one file in their order.
+pub struct SegmentReader {
+    number: u64,
+    frames: FrameReader<File>,
+}
+
+impl SegmentReader {
+    fn open(folder: &Path, number: u64) -> io::Result<Self> {
+        let frames = FrameReader::new(File::open(path(folder, number))?);
+        Ok(Self { number, frames })
+    }
+
+    /// Returns the next record; `None` at the end or before one that is torn.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the file cannot be read.
+    pub fn next_record(&mut self) -> io::Result<Option<(StoredRecord, Location)>> {
+        let offset = self.frames.offset();
+        let next = self.frames.next_record::<StoredRecord>()?;
+        Ok(next.map(|record| {
+            let location = Location {
+                segment: self.number,
+                offset: offset as u32,
+                size: (self.frames.offset() - offset) as u32,
+                text: record.record.text().len() as u32,
+            };
+            (record, location)
+        }))
+    }
+
+    /// Returns the bytes of the records that were read.
+    pub fn offset(&self) -> u64 {
+        self.frames.offset()
+    }
+}
+
+/// Reads texts by their locations. Files stay open as long as it lives.
+pub struct SegmentTexts<'a> {
+    folder: &'a Path,
+    files: HashMap<u64, File>,
+}
+
+impl<'a> SegmentTexts<'a> {
+    /// Reads from the files in `folder`.
+    pub fn new(folder: &'a Path) -> Self {
+        Self {
+            folder,
+            files: HashMap::new(),
+        }
+    }
+
+    fn file(&mut self, number: u64) -> io::Result<&File> {
+        if !self.files.contains_key(&number) {
+            let file = File::open(path(self.folder, number))?;
+            self.files.insert(number, file);
+        }
+        Ok(&self.files[&number])
+    }
+}
+
+impl TextSource for SegmentTexts<'_> {
+    fn text(&mut self, location: Location) -> Result<Bytes, TextError> {
+        let fail = |error: io::Error| match error.kind() {
+            io::ErrorKind::NotFound => TextError::Moved(location),
+            _ => TextError::Io(location, error.to_string()),
+        };
+        let mut frame = vec![0; location.size as usize];
+        let file = self.file(location.segment).map_err(fail)?;
+        file.read_exact_at(&mut frame, u64::from(location.offset))
+            .map_err(fail)?;
+        let record = frames::first::<StoredRecord>(&frame);
+        let (stored, _) = record.ok_or(TextError::Damaged(location))?;
+        Ok(stored.record.text().clone())
+    }
+}
+
 fn path(folder: &Path, number: u64) -> PathBuf {
     folder.join(format!("{number:012}{SUFFIX}"))
 }
@@ -234,14 +369,3 @@
     let file = open().map_err(|error| SegmentError::Io(path.clone(), error))?;
     Ok((file, Segment { number, bytes: 0 }))
 }
-
-/// Reads records up to the first one that is not whole, and returns the bytes
-/// that they take.
-fn read_records(bytes: &[u8], records: &mut Vec<StoredRecord>) -> usize {
-    let mut at = 0;
-    while let Some((record, size)) = frames::first(&bytes[at..]) {
-        records.push(record);
-        at += size;
-    }
-    at
-}
--- a/net/src/turn_end.rs
+++ b/net/src/turn_end.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use limpetferry_lib::keeper_protocol::KeeperReply;
 use limpetferry_lib::keeper_protocol::KeeperRequest;
 use limpetferry_lib::ledger::Begin;
@@ -36,6 +37,9 @@
     asked: HashSet<Arc<str>>,
     /// Names of those that have the end on disk.
     synced: HashSet<Arc<str>>,
+    /// Names of those that were asked and have no room; they are asked again after a
+    /// pause.
+    full: HashSet<Arc<str>>,
     /// Whether more are asked than a majority.
     wide: bool,
 }
@@ -58,9 +62,10 @@
         noted: &HashSet<Arc<str>>,
     ) -> bool {
         let limit = self.clock.now() + END_WAIT;
+        let (note, finish) = without_unused_texts(note, finish);
         loop {
             let mut ending = self.ending(&note.begin, place, noted);
-            match self.end_by(&mut ending, note, &finish, limit).await {
+            match self.end_by(&mut ending, &note, &finish, limit).await {
                 Some(done) => return done,
                 // A keeper that acknowledged it may have lost its disk since:
                 // by the new list all are asked again.
@@ -83,6 +88,7 @@
             noted: noted.clone(),
             asked: HashSet::new(),
             synced: HashSet::new(),
+            full: HashSet::new(),
             wide: false,
         }
     }
@@ -107,6 +113,9 @@
             }
             let Some(Ok(heard)) = within(left.min(ASK_AGAIN), heard.recv()).await else {
                 ending.wide = true;
+                for node in ending.full.drain() {
+                    ending.asked.remove(&node);
+                }
                 continue;
             };
             match heard.reply {
@@ -117,6 +126,9 @@
                     self.site.take_keepers(membership, 0);
                     return None;
                 }
+                Some(KeeperReply::Full { .. }) => {
+                    ending.full.insert(heard.node);
+                }
                 _ => {
                     // It may have lost the beginning.
                     ending.noted.remove(&heard.node);
@@ -129,7 +141,8 @@
     /// Asks a majority to put the end on disk, or all once that took long.
     fn ask_end(&self, ending: &mut Ending, note: &TurnNote, finish: &Finish, sender: &HeardSender) {
         for &at in &ending.places {
-            if !ending.wide && ending.majority(&ending.asked) {
+            let open = &ending.asked - &ending.full;
+            if !ending.wide && ending.majority(&open) {
                 return;
             }
             let node = &ending.membership.keepers[at].node;
@@ -150,3 +163,15 @@
         }
     }
 }
+
+/// Leaves out the texts of a turn that did not end completely: no other turn can
+/// continue from it.
+fn without_unused_texts(note: &TurnNote, finish: Finish) -> (TurnNote, Finish) {
+    let mut note = note.clone();
+    if finish.whole {
+        return (note, finish);
+    }
+    note.begin.input = Bytes::new();
+    let output = Bytes::new();
+    (note, Finish { output, ..finish })
+}
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -1,5 +1,6 @@
 //! Turns as a gateway opens and ends them at the keepers of their programs.
 
+use std::collections::HashMap;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -60,6 +61,8 @@
     Unavailable,
     /// Too few keepers are within this process's reach; others may do better.
     Elsewhere,
+    /// Too few keepers have room; when they may have it again.
+    Full(Duration),
 }
 
 /// A turn that cannot begin.
@@ -69,6 +72,8 @@
     pub refusal: TurnRefusal,
     /// What the keepers have recorded of the program's other turns.
     pub usage: Vec<TurnUsage>,
+    /// Whether a keeper may have recorded the turn.
+    pub recorded: bool,
 }
 
 impl From<TurnRefusal> for NotOpened {
@@ -76,6 +81,7 @@
         Self {
             refusal,
             usage: Vec::new(),
+            recorded: false,
         }
     }
 }
@@ -125,8 +131,14 @@
     asked: HashSet<usize>,
     /// Those of them that noted the turn.
     noted: HashSet<usize>,
+    /// Those of them that could not answer; they are asked again after a pause.
+    failed: HashSet<usize>,
+    /// Whether the link to one that was asked has ended.
+    has_lost: bool,
     /// Where the program's prompts are kept.
     places: Vec<Place>,
+    /// Those that were asked and have no room, and when they may have it again.
+    full: HashMap<usize, Duration>,
     looking: bool,
     /// Whether more replicas are asked than a majority.
     wide: bool,
@@ -137,6 +149,35 @@
         self.membership.place(node)
     }
 
+    /// Returns whether a majority was asked that may still answer with what is wanted.
+    fn is_asked(&self) -> bool {
+        let is_open = |at| !self.full.contains_key(&at) && !self.failed.contains(&at);
+        let open = |at| self.asked.contains(&at) && is_open(at);
+        self.opening.replicas().majority(open)
+    }
+
+    /// Returns whether a replica may have recorded the turn.
+    fn may_be_recorded(&self) -> bool {
+        self.asked.iter().any(|at| !self.full.contains_key(at)) || self.has_lost
+    }
+
+    /// Has all replicas asked, also those that could not answer.
+    fn widen(&mut self) {
+        self.wide = true;
+        for at in self.failed.drain() {
+            self.asked.remove(&at);
+        }
+    }
+
+    /// Returns when to come back, if too few replicas have room.
+    fn retry_full(&self) -> Option<Duration> {
+        let has_room = |at| !self.full.contains_key(&at);
+        if self.opening.replicas().majority(has_room) {
+            return None;
+        }
+        self.full.values().min().copied()
+    }
+
     /// Returns the places of replicas that were not asked yet.
     fn unasked(&self) -> Vec<usize> {
         let all = self.opening.replicas().keepers.iter().copied();
@@ -239,7 +280,9 @@
                 prompt: Bytes::new(),
             }),
             Err(not_opened) => {
-                self.withdraw(note);
+                if not_opened.recorded {
+                    self.withdraw(note);
+                }
                 Err(not_opened)
             }
         }
@@ -261,7 +304,7 @@
                 return Err(TurnRefusal::Unavailable.into());
             }
             let Some(Ok(heard)) = within(left.min(ASK_AGAIN), round.heard.recv()).await else {
-                round.wide = true;
+                round.widen();
                 if self.site.known().keepers.epoch > round.membership.epoch {
                     round = self.query_round(note, budget);
                 }
@@ -273,6 +316,7 @@
                     return Err(NotOpened {
                         refusal: TurnRefusal::Spent,
                         usage: round.opening.usage(),
+                        recorded: false,
                     });
                 }
                 Some(NextAction::Ask | NextAction::Wait) => {}
@@ -291,8 +335,7 @@
     /// Has a majority of the replicas return their view, or all once that took long.
     fn look_missing(&self, round: &mut Round, begin: &Begin) {
         for at in round.unasked() {
-            let enough = |at: usize| round.asked.contains(&at);
-            if !round.wide && round.opening.replicas().majority(enough) {
+            if !round.wide && round.is_asked() {
                 return;
             }
             let question = KeeperRequest::Look {
@@ -330,15 +373,25 @@
         if !round.opening.replicas().majority(reached) {
             return Err(TurnRefusal::Elsewhere.into());
         }
+        let mut recorded = false;
         loop {
+            let refuse = |round: &Round, refusal, usage| NotOpened {
+                refusal,
+                usage,
+                recorded: recorded || round.may_be_recorded(),
+            };
+            if let Some(retry) = round.retry_full() {
+                return Err(refuse(&round, TurnRefusal::Full(retry), Vec::new()));
+            }
             self.ask_missing(&mut round, note);
             let left = limit.since(self.clock.now());
             if left.is_zero() {
-                return Err(TurnRefusal::Unavailable.into());
+                return Err(refuse(&round, TurnRefusal::Unavailable, Vec::new()));
             }
             let Some(Ok(heard)) = within(left.min(ASK_AGAIN), round.heard.recv()).await else {
-                round.wide = true;
+                round.widen();
                 if self.site.known().keepers.epoch > round.membership.epoch {
+                    recorded |= round.may_be_recorded();
                     round = self.round(note, budget);
                 }
                 continue;
@@ -346,14 +399,15 @@
             match self.take(&mut round, &note.begin, heard) {
                 Some(NextAction::Go) => return Ok(round),
                 Some(NextAction::Spent) => {
-                    return Err(NotOpened {
-                        refusal: TurnRefusal::Spent,
-                        usage: round.opening.usage(),
-                    });
+                    let usage = round.opening.usage();
+                    return Err(refuse(&round, TurnRefusal::Spent, usage));
                 }
                 Some(NextAction::Ask) => self.look_all(&mut round, &note.begin),
                 Some(NextAction::Wait) => {}
-                None => round = self.round(note, budget),
+                None => {
+                    recorded |= round.may_be_recorded();
+                    round = self.round(note, budget);
+                }
             }
         }
     }
@@ -373,7 +427,10 @@
             heard,
             asked: HashSet::new(),
             noted: HashSet::new(),
+            failed: HashSet::new(),
+            has_lost: false,
             places: Vec::new(),
+            full: HashMap::new(),
             looking: false,
             wide: false,
         }
@@ -384,8 +441,7 @@
     fn ask_missing(&self, round: &mut Round, note: &TurnNote) {
         let mut chain = round.asked.is_empty() && self.is_cold(&note.begin);
         for at in round.unasked() {
-            let enough = |at: usize| round.asked.contains(&at);
-            if !round.wide && round.opening.replicas().majority(enough) {
+            if !round.wide && round.is_asked() {
                 return;
             }
             let question = KeeperRequest::Note {
@@ -459,7 +515,17 @@
                 | KeeperReply::Loads(_)
                 | KeeperReply::Ends(_),
             ) => return Some(NextAction::Wait),
-            Some(KeeperReply::Failed(_)) | None => {
+            Some(KeeperReply::Full { retry_ms }) => {
+                round.full.insert(at, Duration::from_millis(retry_ms));
+                return Some(NextAction::Wait);
+            }
+            Some(KeeperReply::Failed(_)) => {
+                round.noted.remove(&at);
+                round.failed.insert(at);
+                ReplicaEvent::Lost
+            }
+            None => {
+                round.has_lost = true;
                 round.asked.remove(&at);
                 round.noted.remove(&at);
                 ReplicaEvent::Lost
@@ -560,7 +626,7 @@
             }
             let wait = within(left.min(ASK_AGAIN), round.heard.recv());
             let Some(Ok(heard)) = wait.await else {
-                round.wide = true;
+                round.widen();
                 continue;
             };
             match self.take(round, &note.begin, heard) {
--- a/net/tests/keeper_memory.rs
+++ b/net/tests/keeper_memory.rs
@@ -5,8 +5,8 @@
 use limpetferry_testutils::platform_site::PlatformSite;
 use limpetferry_testutils::platform_site::SiteOptions;
 
-/// Memory of a keeper's VM, in bytes.
-const MEMORY: u64 = 64 << 20;
+/// Memory of a keeper's VM, in megabytes.
+const MEMORY_MB: u64 = 64;
 /// Largest part of a keeper's disk, in megabytes.
 const DISK_MB: u64 = 400;
 /// Bytes of the input of a turn.
@@ -19,6 +19,7 @@
 async fn site() -> PlatformSite {
     let options = SiteOptions {
         disk_mb: DISK_MB,
+        memory_mb: MEMORY_MB,
         ..SiteOptions::default()
     };
     PlatformSite::start_with(2, 3, 1, options).await
@@ -93,7 +94,10 @@
 fn assert_within_memory(site: &mut PlatformSite, when: &str) {
     for keeper in 0..3 {
         let peak = peak_memory(site, keeper);
-        assert!(peak <= MEMORY, "keeper-{keeper} {when}: {peak} bytes");
+        assert!(
+            peak <= MEMORY_MB << 20,
+            "keeper-{keeper} {when}: {peak} bytes"
+        );
     }
 }
 
--- a/net/tests/load_reports.rs
+++ b/net/tests/load_reports.rs
@@ -92,7 +92,7 @@
 
 async fn serve(listener: TcpListener, hello: Hello, summary: LoadSummary, asked: Arc<AtomicUsize>) {
     while let Ok((stream, _)) = listener.accept().await {
-        let Ok(link) = peer::accept(stream, &hello).await else {
+        let Ok(link) = peer::accept(stream, &hello, peer::WINDOW).await else {
             continue;
         };
         let (sender, outgoing) = async_channel::unbounded();
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -102,6 +102,8 @@
     pub long_poll: Duration,
     /// Megabytes that each keeper may store.
     pub disk_mb: u64,
+    /// Megabytes of memory that each keeper may use.
+    pub memory_mb: u64,
 }
 
 impl Default for SiteOptions {
@@ -111,6 +113,7 @@
             switches: Switches::default(),
             long_poll: store_watch::DEFAULT_HOLD,
             disk_mb: 100,
+            memory_mb: 128,
         }
     }
 }
@@ -357,6 +360,7 @@
                     folder,
                     most: options.disk_mb,
                 },
+                memory_mb: options.memory_mb,
                 first: true,
             });
         }
