site: changes for those that follow are bounded in bytes

The log holds 4 MB beside the newest change. Who follows from further back gets a copy of everything, as before where the log had ended.

--- a/net/src/known.rs
+++ b/net/src/known.rs
@@ -18,6 +18,9 @@
 /// Changes kept for those that follow: some minutes of a release of hundreds
 /// of servers.
 const MAX_LOG: usize = 4_096;
+/// Bytes of the values in these changes: a few of the longest routing documents. Who
+/// follows from further back gets a copy of everything.
+const MAX_LOG_BYTES: usize = 4 << 20;
 
 /// What is known, as of now.
 #[derive(Debug, Default)]
@@ -42,6 +45,8 @@
     removed: BTreeMap<String, u64>,
     /// Changes for those that follow this process, oldest first.
     log: VecDeque<Change>,
+    /// Bytes of the values in the log.
+    log_bytes: usize,
     /// Revision after which the log is complete.
     pub(crate) log_from: u64,
     /// When a keeper that hears from the store was last heard of.
@@ -105,11 +110,13 @@
     }
 
     fn push_change(&mut self, change: Change) {
+        self.log_bytes += value_bytes(&change);
         self.log.push_back(change);
-        if self.log.len() <= MAX_LOG {
-            return;
-        }
-        if let Some(oldest) = self.log.pop_front() {
+        while self.log.len() > MAX_LOG || self.log.len() > 1 && self.log_bytes > MAX_LOG_BYTES {
+            let Some(oldest) = self.log.pop_front() else {
+                return;
+            };
+            self.log_bytes -= value_bytes(&oldest);
             self.log_from = self.log_from.max(oldest.revision);
             if self.removed.get(&oldest.key) == Some(&oldest.revision) {
                 self.removed.remove(&oldest.key);
@@ -117,3 +124,7 @@
         }
     }
 }
+
+fn value_bytes(change: &Change) -> usize {
+    change.value.as_ref().map_or(0, |value| value.len())
+}
--- a/net/tests/site.rs
+++ b/net/tests/site.rs
@@ -3,8 +3,10 @@
 
 use std::sync::Arc;
 
+use assert_matches::assert_matches;
 use async_channel::Sender;
 use limpetferry_lib::keeper_protocol::Change;
+use limpetferry_lib::keeper_protocol::KeeperReply;
 use limpetferry_lib::store_watch::MAX_HOLD;
 use limpetferry_lib::workspace::KeyDigester;
 use limpetferry_net::clock::Clock;
@@ -20,6 +22,10 @@
 
 /// Servers in the store, more than it gives on one page.
 const SERVERS: usize = 15;
+/// Bytes of a long routing document.
+const LONG_DOCUMENT: usize = 400 << 10;
+/// Bytes that changes may hold for those that follow, beside the newest one.
+const LOG_BYTES: usize = 4 << 20;
 /// A server whose entry is on the first page.
 const EARLY: &str = "servers/server-00";
 
@@ -133,3 +139,37 @@
     let routing = known.routing.as_ref().expect("a routing");
     assert_eq!(routing.version, 1);
 }
+
+// Guards against processes that exceed their memory while long routing documents come
+// in quick succession.
+#[test]
+fn changes_for_those_that_follow_are_bounded_in_bytes() {
+    let site = site();
+    let versions = 1..=60_u64;
+    for version in versions.clone() {
+        let mut document = routing(version);
+        document["Note"] = json!("x".repeat(LONG_DOCUMENT));
+        let change = Change {
+            key: "op/config".to_owned(),
+            value: Some(document.to_string().into()),
+            revision: version,
+            lapsed: false,
+        };
+        site.take_changes(vec![change], version, "keeper");
+    }
+
+    for after in versions {
+        let Some(KeeperReply::Changes { changes, .. }) = site.news(after) else {
+            continue;
+        };
+        let values = changes.iter().filter_map(|change| change.value.as_ref());
+        let bytes: usize = values.map(|value| value.len()).sum();
+        assert!(
+            bytes <= LOG_BYTES + 2 * LONG_DOCUMENT,
+            "after {after}: {bytes}"
+        );
+        assert_eq!(changes.len() as u64, 60 - after);
+    }
+    let far_back = site.news(1);
+    assert_matches!(far_back, Some(KeeperReply::Snapshot { .. }));
+}
