tests: full keepers refuse new programs at once and continue old ones

With processes: three keepers without room refuse a first turn with 503 and a time to come back, no server runs it, and a turn of a kept program is served; one full keeper of three refuses nobody.

--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -33,7 +33,7 @@
 /// the change of a keeper's list take some seconds.
 const RETENTION_MARGIN: Duration = Duration::from_secs(15);
 /// Memory of a turn and of its share of its program, without their ids, in bytes.
-const TURN_BYTES: u64 = 480;
+const TURN_BYTES: u64 = 640;
 /// Memory of the end of a turn, in bytes.
 const FINISH_BYTES: u64 = 16;
 
--- a/net/tests/keeper_memory.rs
+++ b/net/tests/keeper_memory.rs
@@ -9,16 +9,20 @@
 const MEMORY_MB: u64 = 64;
 /// Largest part of a keeper's disk, in megabytes.
 const DISK_MB: u64 = 400;
+/// A part of a disk that few turns fill, in megabytes.
+const SMALL_DISK_MB: u64 = 16;
+/// Turns whose inputs do not fit on any two of three such disks.
+const MANY_TURNS: usize = 400;
 /// Bytes of the input of a turn.
 const INPUT: usize = 64 << 10;
 /// Turns whose inputs exceed a keeper's memory at any two of three keepers.
 const TURNS: usize = 2_400;
 /// Callers that send turns at the same time.
-const CALLERS: usize = 8;
+const CALLERS: usize = 24;
 
-async fn site() -> PlatformSite {
+async fn site(disk_mb: u64) -> PlatformSite {
     let options = SiteOptions {
-        disk_mb: DISK_MB,
+        disk_mb,
         memory_mb: MEMORY_MB,
         ..SiteOptions::default()
     };
@@ -106,7 +110,7 @@
 #[test]
 fn keepers_stay_within_their_memory_through_a_full_disk_and_a_restart() {
     smol::block_on(async {
-        let mut site = site().await;
+        let mut site = site(DISK_MB).await;
         let input = "x".repeat(INPUT);
 
         let turns = fill(&site, TURNS, &input).await;
@@ -123,3 +127,67 @@
         assert_within_memory(&mut site, "after a restart");
     });
 }
+
+/// Returns how many turns the engines have executed.
+fn runs(site: &PlatformSite) -> usize {
+    site.engines.iter().map(|engine| engine.runs().len()).sum()
+}
+
+// Guards against keepers that end for lack of room, or that have turns wait until
+// their callers give up.
+#[test]
+fn full_keepers_refuse_new_programs_at_once_and_continue_old_ones() {
+    smol::block_on(async {
+        let site = site(SMALL_DISK_MB).await;
+        let input = "x".repeat(INPUT);
+        let first = served_turn(&site, "first", None, "in;").await;
+
+        let mut refused = None;
+        for number in 0..MANY_TURNS {
+            let (_, answer) = turn(&site, &format!("program-{number}"), None, &input).await;
+            if answer.status != 200 {
+                refused = Some(answer);
+                break;
+            }
+        }
+        let before = runs(&site);
+        let (_, again) = turn(&site, "another", None, &input).await;
+        let after = runs(&site);
+        served_turn(&site, "first", Some(&first), "in;").await;
+
+        let refused = refused.expect("the disks are full");
+        for answer in [refused, again] {
+            assert_eq!(answer.status, 503, "{answer:?}");
+            assert!(answer.text().contains("no room"), "{answer:?}");
+            assert!(answer.headers.contains_key("retry-after"), "{answer:?}");
+        }
+        assert_eq!(before, after);
+    });
+}
+
+// Guards against turns that are refused while a majority of their keepers has room.
+#[test]
+fn turns_are_stored_by_the_others_while_one_keeper_is_full() {
+    smol::block_on(async {
+        let mut site = site(DISK_MB).await;
+        site.change_keeper(0, |settings| settings.data.most = SMALL_DISK_MB)
+            .await;
+        let input = "x".repeat(INPUT);
+
+        let turns = fill(&site, MANY_TURNS, &input).await;
+        site.wait_for_keeper_gauge(0, "full", 1).await;
+        for number in 0..CALLERS {
+            let (_, answer) = turn(&site, &format!("more-{number}"), None, &input).await;
+            assert_eq!(answer.status, 200, "{answer:?}");
+        }
+        for node in ["gateway-0", "gateway-1", "keeper-0", "keeper-1", "keeper-2"] {
+            site.process(node).kill();
+        }
+        (0..3).for_each(|number| site.start_keeper(number));
+        (0..2).for_each(|number| site.start_gateway(number));
+        site.wait_ready().await;
+
+        served_turn(&site, "later", turns.last().map(String::as_str), "in;").await;
+        assert_eq!(turns.len(), MANY_TURNS);
+    });
+}
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -421,6 +421,20 @@
         self.wait_ready().await;
     }
 
+    /// Restarts a keeper with changed settings, and waits until all gateways are ready.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they are not ready in time.
+    pub async fn change_keeper(&mut self, number: usize, change: impl FnOnce(&mut KeeperSettings)) {
+        let settings = &mut self.keepers[number];
+        change(settings);
+        self.processes.remove(&settings.common.node);
+        self.start_keeper(number);
+        self.wait_for_whole(number).await;
+        self.wait_ready().await;
+    }
+
     /// Returns the settings of a gateway.
     pub fn gateway_settings(&self, number: usize) -> &GatewaySettings {
         &self.gateways[number]
