keepers: long histories and long programs are read and sent in parts

The same class: a keeper read and sent a whole history, and the whole of a program to a keeper that copies, however long. With 40 turns of 64 kB that is 2.6 MB an answer, held twice while it is sent, and a program had no bound at all.

A history is answered in parts of 1 MB; the gateway asks for the turn before a part, as it always did for one that is missing. Copies are answered by turns: the request names the last turn that has arrived (a new field at its end; older keepers send whole programs, and get them). A page is on disk before the next one is asked for, so that one page at a time is in memory.

long_histories_are_read_and_copied_in_parts: a program of 40 turns is copied to a keeper without its disk, and continued by a new gateway while only that one and one other run.

--- a/lib/src/keeper_protocol.rs
+++ b/lib/src/keeper_protocol.rs
@@ -121,6 +121,11 @@
     Records {
         /// Ids of the programs.
         programs: Vec<Arc<str>>,
+        /// The last turn of the first program that the sender has received, if it has
+        /// received a part of it.
+        after: Option<Arc<str>>,
+        /// Whether the sender takes a part of a program.
+        partial: bool,
     },
     /// Return the changes of the platform's store since `after`; wait a limited
     /// time if there are none yet.
@@ -201,6 +206,8 @@
         programs: usize,
         /// Origins of the turns' streams.
         origins: Vec<TurnOrigin>,
+        /// The last turn of the program that follows, if a part of it is included.
+        last: Option<Arc<str>>,
     },
     /// The keeper's copy of the platform's store.
     Snapshot {
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -343,6 +343,11 @@
         }
     }
 
+    fn stored_texts(&self) -> impl Iterator<Item = &Text> {
+        let parts = TurnPart::ALL.into_iter();
+        parts.filter_map(|part| self.text(part))
+    }
+
     fn text(&self, part: TurnPart) -> Option<&Text> {
         match part {
             TurnPart::Begin => self.begin.as_ref().map(|begin| &begin.input),
@@ -699,7 +704,7 @@
             let Some(turn) = self.turns.remove(&id) else {
                 continue;
             };
-            for text in TurnPart::ALL.into_iter().filter_map(|part| turn.text(part)) {
+            for text in turn.stored_texts() {
                 self.bytes -= text.memory_bytes();
                 if let Some(location) = text.location() {
                     let with_text = !matches!(text, Text::Dropped(_));
@@ -738,12 +743,28 @@
 
     /// Returns all records of a program.
     pub fn entries(&self, program: &str) -> Vec<RecordEntry> {
+        self.entries_of(program, &self.turns_after(program, None))
+    }
+
+    /// Returns the turns of a program in the order in which they came, those after the
+    /// turn `after` if it is one of them.
+    pub fn turns_after(&self, program: &str, after: Option<&str>) -> Vec<Arc<str>> {
+        let program = self.programs.get(program);
+        let turns = program.map_or(&[][..], |program| &program.turns);
+        let at = after.and_then(|after| turns.iter().position(|turn| &**turn == after));
+        turns[at.map_or(0, |at| at + 1)..].to_vec()
+    }
+
+    /// Returns the records of some turns of a program.
+    pub fn entries_of(&self, program: &str, turns: &[Arc<str>]) -> Vec<RecordEntry> {
         let Some(program) = self.programs.get(program) else {
             return Vec::new();
         };
         let mut entries = Vec::new();
-        for id in &program.turns {
-            let turn = &self.turns[id];
+        for id in turns {
+            let Some(turn) = self.turns.get(id) else {
+                continue;
+            };
             if let Some(begin) = &turn.begin {
                 let record = Record::Begin(Begin {
                     turn: id.clone(),
@@ -829,6 +850,13 @@
         oldest.map(|oldest| oldest + retention)
     }
 
+    /// Returns the length of a turn's texts in bytes.
+    pub fn text_size(&self, turn: &str) -> usize {
+        let turn = self.turns.get(turn);
+        let texts = turn.into_iter().flat_map(|turn| turn.stored_texts());
+        texts.map(Text::size).sum()
+    }
+
     /// Returns whether records of a program are stored.
     pub fn has_program(&self, program: &str) -> bool {
         self.programs.contains_key(program)
--- a/net/src/keeper_list.rs
+++ b/net/src/keeper_list.rs
@@ -17,6 +17,7 @@
 use limpetferry_lib::keeper_protocol::KeeperReply;
 use limpetferry_lib::keeper_protocol::KeeperRequest;
 use limpetferry_lib::ledger::ProgramDigest;
+use limpetferry_lib::ledger::StoredRecord;
 use limpetferry_lib::ledger::with_origins;
 use limpetferry_lib::membership::ListRequest;
 use limpetferry_lib::membership::MemberState;
@@ -336,35 +337,46 @@
 
     async fn fetch(&self, other: &str, mut programs: &[Arc<str>]) -> Option<usize> {
         let mut count = 0;
+        let mut after = None;
         while !programs.is_empty() {
             let first = &programs[..programs.len().min(FETCH)];
             let question = KeeperRequest::Records {
                 programs: first.to_vec(),
+                after: after.take(),
+                partial: true,
             };
-            let reply = self.ask(other, question).await;
             let Some(KeeperReply::Records {
                 records,
-                programs: done @ 1..,
+                programs: done,
                 origins,
-            }) = reply
+                last,
+            }) = self.ask(other, question).await
             else {
                 return None;
             };
-            count += records.len();
-            if self.keeper.shortage(RecordClass::Stored).is_some() {
+            if done == 0 && last.is_none() {
                 return None;
             }
-            // One page at a time waits for the disk.
-            let (sender, synced) = async_channel::bounded(1);
-            let listener = Listener::Task(sender);
-            self.keeper
-                .keep(with_origins(records, origins), Some(listener));
-            synced.recv().await.ok()?;
+            count += records.len();
+            self.store_copies(with_origins(records, origins)).await?;
             programs = programs.get(done..).unwrap_or(&[]);
+            after = last;
         }
         Some(count)
     }
 
+    /// Stores copies and waits until they are on disk, so that one page at a time is in
+    /// memory; `None` if there is no room for them.
+    async fn store_copies(&self, records: Vec<StoredRecord>) -> Option<()> {
+        if self.keeper.shortage(RecordClass::Stored).is_some() {
+            return None;
+        }
+        let (sender, synced) = async_channel::bounded(1);
+        let listener = Listener::Task(sender);
+        self.keeper.keep(records, Some(listener));
+        synced.recv().await.ok()
+    }
+
     async fn ask(&self, other: &str, question: KeeperRequest) -> Option<KeeperReply> {
         let (sender, heard) = async_channel::unbounded();
         if !self.replicas.ask(other, question, &sender) {
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -305,8 +305,13 @@
                     more,
                 }
             }
-            KeeperRequest::Records { programs } => {
-                return self.answer_records(&programs, ticket, sender);
+            KeeperRequest::Records {
+                programs,
+                after,
+                partial,
+            } => {
+                let wanted = self.copy_page(&programs, after.as_deref(), partial);
+                return self.answer_records(wanted, ticket, sender);
             }
             KeeperRequest::List(request) => {
                 self.take_request(request);
--- a/net/src/keeper_reads.rs
+++ b/net/src/keeper_reads.rs
@@ -50,9 +50,9 @@
         turn: Arc<str>,
         deliver: Deliver<Vec<ChainLink>>,
     },
-    /// All records of programs.
+    /// Records of turns.
     Records {
-        programs: Vec<Arc<str>>,
+        page: CopyPage,
         deliver: Deliver<Vec<StoredRecord>>,
     },
 }
@@ -115,10 +115,11 @@
                 let look_up = || self.state.lock().chain(&turn);
                 deliver(self.read_all(look_up, ChainEntry::read));
             }
-            ReadJob::Records { programs, deliver } => {
+            ReadJob::Records { page, deliver } => {
                 let look_up = || {
                     let state = self.state.lock();
-                    let each = programs.iter().flat_map(|program| state.entries(program));
+                    let parts = page.parts.iter();
+                    let each = parts.flat_map(|part| state.entries(&part.program, &part.turns));
                     each.collect::<Vec<RecordEntry>>()
                 };
                 deliver(self.read_all(look_up, RecordEntry::read));
@@ -152,6 +153,28 @@
     }
 }
 
+/// Turns of one program that are copied to another keeper.
+struct CopyPart {
+    program: Arc<str>,
+    turns: Vec<Arc<str>>,
+}
+
+/// What is copied to another keeper in one answer.
+pub(crate) struct CopyPage {
+    parts: Vec<CopyPart>,
+    /// Bytes of their texts.
+    bytes: usize,
+    /// The last turn of the last part, if turns of its program are left.
+    last: Option<Arc<str>>,
+}
+
+impl CopyPage {
+    /// Returns the number of programs of which nothing is left.
+    fn whole_programs(&self) -> usize {
+        self.parts.len() - usize::from(self.last.is_some())
+    }
+}
+
 /// The answer to a keeper's first question about a turn, without the history.
 pub(crate) struct NotedAnswer {
     view: ReplicaView,
@@ -262,39 +285,62 @@
         });
     }
 
-    /// Answers with the records of the first of some programs, up to a bound of bytes.
-    pub(crate) fn answer_records(
+    /// Selects what of some programs is copied in one answer: up to a bound of bytes, and
+    /// whole programs if the asker takes no part of one.
+    pub(crate) fn copy_page(
         &self,
         programs: &[Arc<str>],
-        ticket: RequestId,
-        sender: &ReplySender,
-    ) {
-        let mut bytes = 0;
-        let mut wanted = Vec::new();
-        for program in programs {
-            let entries = self.state().ledger.entries(program);
-            bytes += entries.iter().map(|entry| entry.text.size()).sum::<usize>();
-            wanted.push(program.clone());
-            if bytes > PULL_BYTES {
+        after: Option<&str>,
+        partial: bool,
+    ) -> CopyPage {
+        let state = self.state();
+        let mut page = CopyPage {
+            parts: Vec::new(),
+            bytes: 0,
+            last: None,
+        };
+        for (number, program) in programs.iter().enumerate() {
+            if page.bytes > PULL_BYTES {
                 break;
             }
+            let after = after.filter(|_| number == 0);
+            let mut turns = state.ledger.turns_after(program, after);
+            let mut count = 0;
+            for turn in &turns {
+                if partial && page.bytes > PULL_BYTES {
+                    break;
+                }
+                page.bytes += state.ledger.text_size(turn);
+                count += 1;
+            }
+            if count < turns.len() {
+                turns.truncate(count);
+                page.last = turns.last().cloned();
+            }
+            let program = program.clone();
+            page.parts.push(CopyPart { program, turns });
         }
-        let Some(reservation) = self.reads.budget().reserve(bytes) else {
+        page
+    }
+
+    /// Answers with records for a keeper that catches up.
+    pub(crate) fn answer_records(&self, page: CopyPage, ticket: RequestId, sender: &ReplySender) {
+        let Some(reservation) = self.reads.budget().reserve(page.bytes) else {
             let why = "too many copies are read at once; ask again".to_owned();
             sender.send(ticket, KeeperReply::Failed(why));
             return;
         };
-        let count = wanted.len();
+        let (count, last) = (page.whole_programs(), page.last.clone());
         let sender = sender.clone();
         let deliver = move |records: Result<Vec<StoredRecord>, TextError>| {
             let reply = records.map_or_else(
                 |error| KeeperReply::Failed(error.to_string()),
-                |records| copies(records, count),
+                |records| copies(records, count, last),
             );
             sender.send_reserved(ticket, reply, Some(reservation));
         };
         self.reads.send(ReadJob::Records {
-            programs: wanted,
+            page,
             deliver: Box::new(deliver),
         });
     }
@@ -328,8 +374,9 @@
     links.collect::<Result<Vec<ChainLink>, TextError>>().ok()
 }
 
-/// Makes the answer with all records of `programs` programs.
-fn copies(stored: Vec<StoredRecord>, programs: usize) -> KeeperReply {
+/// Makes the answer with the records of `programs` programs, and of the one that follows
+/// up to the turn `last`.
+fn copies(stored: Vec<StoredRecord>, programs: usize, last: Option<Arc<str>>) -> KeeperReply {
     let mut records = Vec::with_capacity(stored.len());
     let mut origins = Vec::new();
     for StoredRecord { record, origin } in stored {
@@ -343,5 +390,6 @@
         records,
         programs,
         origins,
+        last,
     }
 }
--- a/net/src/keeper_state.rs
+++ b/net/src/keeper_state.rs
@@ -10,6 +10,10 @@
 use limpetferry_lib::ledger::RecordEntry;
 use limpetferry_lib::text_cache::TextCache;
 
+/// Bytes of the texts in one part of a history. Who asked for it asks again for the turn
+/// before the part.
+const HISTORY_PART: usize = 1 << 20;
+
 /// The turns of a keeper, and what it may say of those that it does not have.
 pub struct State {
     /// The turns.
@@ -35,9 +39,17 @@
         }
     }
 
-    /// Returns a turn and its predecessors, with the texts that are in memory.
+    /// Returns a turn and as many of its predecessors as one part of a history has, with
+    /// the texts that are in memory.
     pub fn chain(&self, turn: &str) -> Vec<ChainEntry> {
         let mut chain = self.ledger.chain(turn);
+        let mut bytes = 0;
+        let fits = chain.iter().take_while(|entry| {
+            bytes += entry.size();
+            bytes <= HISTORY_PART
+        });
+        let count = fits.count().max(1);
+        chain.truncate(count);
         for entry in &mut chain {
             entry.input = self.cache.look_up(entry.input.clone());
             entry.output = self.cache.look_up(entry.output.clone());
@@ -45,9 +57,9 @@
         chain
     }
 
-    /// Returns the records of a program, with the texts that are in memory.
-    pub fn entries(&self, program: &str) -> Vec<RecordEntry> {
-        let mut entries = self.ledger.entries(program);
+    /// Returns the records of some turns of a program, with the texts that are in memory.
+    pub fn entries(&self, program: &str, turns: &[Arc<str>]) -> Vec<RecordEntry> {
+        let mut entries = self.ledger.entries_of(program, turns);
         for entry in &mut entries {
             entry.text = self.cache.look_up(entry.text.clone());
         }
--- a/net/tests/keeper_memory.rs
+++ b/net/tests/keeper_memory.rs
@@ -1,6 +1,7 @@
 //! Keepers stay within the memory of their VMs, whatever their disks hold.
 
 use futures_util::future::join_all;
+use limpetferry_testutils::platform_server::whole_output;
 use limpetferry_testutils::platform_site::Answer;
 use limpetferry_testutils::platform_site::PlatformSite;
 use limpetferry_testutils::platform_site::SiteOptions;
@@ -17,6 +18,8 @@
 const INPUT: usize = 64 << 10;
 /// Turns whose inputs exceed a keeper's memory at any two of three keepers.
 const TURNS: usize = 2_400;
+/// Turns of a history that is longer than one part.
+const LONG_CHAIN: usize = 40;
 /// Callers that send turns at the same time.
 const CALLERS: usize = 24;
 
@@ -95,8 +98,8 @@
         << 10
 }
 
-fn assert_within_memory(site: &mut PlatformSite, when: &str) {
-    for keeper in 0..3 {
+fn assert_within_memory(site: &mut PlatformSite, keepers: &[usize], when: &str) {
+    for &keeper in keepers {
         let peak = peak_memory(site, keeper);
         assert!(
             peak <= MEMORY_MB << 20,
@@ -114,7 +117,7 @@
         let input = "x".repeat(INPUT);
 
         let turns = fill(&site, TURNS, &input).await;
-        assert_within_memory(&mut site, "with all turns stored");
+        assert_within_memory(&mut site, &[0, 1, 2], "with all turns stored");
         for node in ["gateway-0", "gateway-1", "keeper-0", "keeper-1", "keeper-2"] {
             site.process(node).kill();
         }
@@ -124,7 +127,7 @@
         served_turn(&site, "later", turns.first().map(String::as_str), "in;").await;
         served_turn(&site, "later", turns.last().map(String::as_str), "in;").await;
 
-        assert_within_memory(&mut site, "after a restart");
+        assert_within_memory(&mut site, &[0, 1, 2], "after a restart");
     });
 }
 
@@ -191,3 +194,33 @@
         assert_eq!(turns.len(), MANY_TURNS);
     });
 }
+
+// Guards against keepers that read a long history or a long program at once.
+#[test]
+fn long_histories_are_read_and_copied_in_parts() {
+    smol::block_on(async {
+        let mut site = site(DISK_MB).await;
+        let input = "x".repeat(INPUT);
+        let mut last = None;
+        for _ in 0..LONG_CHAIN {
+            last = Some(served_turn(&site, "long", last.as_deref(), &input).await);
+        }
+
+        // It copies from the others, and then there is one other with the turns.
+        site.process("keeper-0").kill();
+        site.wipe(0);
+        site.start_keeper(0);
+        site.wait_for_whole(0).await;
+        site.process("keeper-1").kill();
+        site.process("gateway-0").kill();
+        site.start_gateway(0);
+        site.wait_ready().await;
+        served_turn(&site, "long", last.as_deref(), "in;").await;
+
+        let runs = site.engines.iter().flat_map(|engine| engine.runs());
+        let longest = runs.map(|run| run.body.len()).max().expect("a run");
+        let turn = INPUT + whole_output().len();
+        assert_eq!(longest, LONG_CHAIN * turn + "in;".len());
+        assert_within_memory(&mut site, &[0, 2], "after copies of a long program");
+    });
+}
