--- a/lib/tests/keeper_memory.rs
+++ b/lib/tests/keeper_memory.rs
@@ -4,6 +4,13 @@
 mod keeper_world;
 
 use keeper_world::KeeperWorld;
+use limpetferry_lib::ledger::Begin;
+use limpetferry_lib::ledger::Finish;
+use limpetferry_lib::ledger::Ledger;
+use limpetferry_lib::ledger::Record;
+use limpetferry_lib::ledger::StoredRecord;
+use limpetferry_lib::text::Location;
+use limpetferry_lib::time::Time;
 
 const SEEDS: u64 = 60;
 const STEPS: usize = 4_000;
@@ -73,3 +80,42 @@
         }
     }
 }
+
+// Guards against inputs of refused turns that stay for as long as their programs.
+#[test]
+fn texts_of_turns_that_broke_off_leave_memory_and_disk() {
+    let begin: StoredRecord = Record::Begin(Begin {
+        turn: "turn".into(),
+        program: "program".into(),
+        previous: None,
+        input: vec![7; 1_000].into(),
+        most: 50,
+    })
+    .into();
+    let finish = Record::Finish(Finish {
+        turn: "turn".into(),
+        program: "program".into(),
+        output: vec![8; 1_000].into(),
+        used: 0,
+        whole: false,
+    });
+    let location = Location {
+        segment: 1,
+        offset: 0,
+        size: 1_040,
+        text: 1_000,
+    };
+    let mut ledger = Ledger::default();
+    ledger.apply_stored(Time::default(), begin.clone());
+    ledger.set_location(&begin.record, location);
+    let before = ledger.disk().total().live_bytes;
+
+    ledger.apply(Time::default(), finish);
+    let after = ledger.disk().total().live_bytes;
+    let compacted = ledger.compacted(begin, location);
+
+    assert_eq!((before, after), (1_040, 40));
+    assert_eq!(ledger.bytes(), 0);
+    let record = compacted.expect("the budget needs it").record;
+    assert!(record.text().is_empty());
+}
--- a/net/tests/keeper_memory.rs
+++ b/net/tests/keeper_memory.rs
@@ -1,6 +1,17 @@
 //! Keepers stay within the memory of their VMs, whatever their disks hold.
 
+use std::sync::Arc;
+
+use assert_matches::assert_matches;
 use futures_util::future::join_all;
+use limpetferry_lib::id::Boot;
+use limpetferry_lib::id::NodeId;
+use limpetferry_lib::keeper_protocol::KeeperMessage;
+use limpetferry_lib::keeper_protocol::KeeperReply;
+use limpetferry_lib::keeper_protocol::KeeperRequest;
+use limpetferry_lib::keeper_protocol::RequestId;
+use limpetferry_net::peer;
+use limpetferry_net::peer::Hello;
 use limpetferry_testutils::platform_server::whole_output;
 use limpetferry_testutils::platform_site::Answer;
 use limpetferry_testutils::platform_site::PlatformSite;
@@ -18,8 +29,10 @@
 const INPUT: usize = 64 << 10;
 /// Turns whose inputs exceed a keeper's memory at any two of three keepers.
 const TURNS: usize = 2_400;
-/// Turns of a history that is longer than one part.
-const LONG_CHAIN: usize = 40;
+/// Turns of a history that is longer than the memory for all answers.
+const LONG_CHAIN: usize = 90;
+/// Histories that are asked for at once; together they exceed a keeper's memory.
+const QUESTIONS: u64 = 200;
 /// Callers that send turns at the same time.
 const CALLERS: usize = 24;
 
@@ -224,3 +237,41 @@
         assert_within_memory(&mut site, &[0, 2], "after copies of a long program");
     });
 }
+
+// Guards against keepers that read and hold all histories that are asked for at once.
+#[test]
+fn answers_to_a_peer_that_does_not_read_are_bounded() {
+    smol::block_on(async {
+        let mut site = site(DISK_MB).await;
+        let input = "x".repeat(INPUT);
+        let mut last = None;
+        for _ in 0..LONG_CHAIN {
+            last = Some(served_turn(&site, "long", last.as_deref(), &input).await);
+        }
+        let turn: Arc<str> = last.expect("a turn").into();
+        let common = &site.keeper_settings(0).common;
+        let hello = Hello::new(NodeId::new("reader"), Boot(1), common.key_digest());
+        let link = peer::dial(&common.peers.to_string(), &hello).await;
+        let link = link.expect("the keeper takes the link");
+
+        let (ask, questions) = async_channel::unbounded();
+        for number in 0..QUESTIONS {
+            let question = KeeperRequest::Chain { turn: turn.clone() };
+            let asked = ask.try_send(KeeperMessage::Ask(RequestId(number), question));
+            asked.expect("the link takes it");
+        }
+        // One answer is taken from the link, and no further one.
+        let (incoming, answers) = async_channel::bounded(1);
+        let reading = smol::spawn(async move {
+            let keep = |message: KeeperMessage| message;
+            link.run(questions, &incoming, keep).await
+        });
+        site.wait_for_keeper_counter(0, "questions_total", "chain", QUESTIONS)
+            .await;
+        let first = answers.recv().await;
+
+        assert_matches!(first, Ok(KeeperMessage::Tell(_, KeeperReply::Chain { .. })));
+        assert_within_memory(&mut site, &[0], "with answers that nobody reads");
+        reading.cancel().await;
+    });
+}
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -435,6 +435,11 @@
         self.wait_ready().await;
     }
 
+    /// Returns the settings of a keeper.
+    pub fn keeper_settings(&self, number: usize) -> &KeeperSettings {
+        &self.keepers[number]
+    }
+
     /// Returns the settings of a gateway.
     pub fn gateway_settings(&self, number: usize) -> &GatewaySettings {
         &self.gateways[number]
@@ -927,6 +932,37 @@
         self.wait_for_metric(metrics, name, value).await;
     }
 
+    /// Waits until a counter of a keeper with this label has reached a value.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it has not in time.
+    pub async fn wait_for_keeper_counter(
+        &self,
+        keeper: usize,
+        name: &str,
+        label: &str,
+        least: u64,
+    ) {
+        let metrics = self.keepers[keeper].common.metrics.to_string();
+        let name = format!("limpetferry_{name}{{");
+        let label = format!("\"{label}\"");
+        let is_reached = |text: &str| {
+            let mut lines = text.lines();
+            let line = lines.find(|line| line.starts_with(&name) && line.contains(&label));
+            let value = line.and_then(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+            value.is_some_and(|value| value >= least)
+        };
+        let wait = async {
+            while !(self.get(&metrics, "/metrics").await).is_ok_and(|a| is_reached(&a.text())) {
+                smol::Timer::after(POLL_INTERVAL).await;
+            }
+        };
+        within(CONDITION_TIMEOUT, wait)
+            .await
+            .expect("the condition holds in time");
+    }
+
     /// Waits until a gateway uses this version of the routing document.
     pub async fn wait_for_routing(&self, gateway: usize, version: u64) {
         let metrics = self.gateways[gateway].common.metrics;
