--- a/net/tests/keeper_memory.rs
+++ b/net/tests/keeper_memory.rs
@@ -98,22 +98,9 @@
     turns
 }
 
-/// Returns the most memory that a keeper has used since it started, in bytes.
-fn peak_memory(site: &mut PlatformSite, keeper: usize) -> u64 {
-    let id = site.process(&format!("keeper-{keeper}")).id();
-    let status = std::fs::read_to_string(format!("/proc/{id}/status"));
-    let status = status.expect("the keeper runs");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kilobytes = line.and_then(|line| line.split_whitespace().next());
-    kilobytes
-        .and_then(|kb| kb.parse::<u64>().ok())
-        .expect("a number")
-        << 10
-}
-
 fn assert_within_memory(site: &mut PlatformSite, keepers: &[usize], when: &str) {
     for &keeper in keepers {
-        let peak = peak_memory(site, keeper);
+        let peak = site.process(&format!("keeper-{keeper}")).peak_memory();
         assert!(
             peak <= MEMORY_MB << 20,
             "keeper-{keeper} {when}: {peak} bytes"
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -195,6 +195,20 @@
         self.child().id()
     }
 
+    /// Returns the most memory that a child process has used since it started, in bytes.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is a task, or has ended.
+    pub fn peak_memory(&mut self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+        let kilobytes = line.and_then(|line| line.split_whitespace().next());
+        let kilobytes = kilobytes.and_then(|number| number.parse::<u64>().ok());
+        kilobytes.expect("the kernel counts it") << 10
+    }
+
     fn child(&mut self) -> &mut Child {
         match self {
             Self::Child(child) => child,
--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -384,6 +384,9 @@
         broken.push(format!("processes exited unexpectedly: {ended:?}"));
     }
     broken.extend(wait_for_recovery(&faulty, &records).await.err());
+    if ended.is_empty() {
+        broken.extend(over_memory(&mut faulty.site));
+    }
     drop(stop);
     for caller in callers {
         caller.await;
@@ -457,6 +460,19 @@
     count
 }
 
+/// Returns the keepers that have used more than their memory since they started.
+fn over_memory(site: &mut PlatformSite) -> Vec<String> {
+    let mut broken = Vec::new();
+    for number in 0..KEEPERS {
+        let most = site.keeper_settings(number).memory_mb << 20;
+        let used = site.process(&format!("keeper-{number}")).peak_memory();
+        if used > most {
+            broken.push(format!("keeper-{number} used {used} of {most} bytes"));
+        }
+    }
+    broken
+}
+
 /// Waits until each gateway serves a turn that continues one from the run.
 async fn wait_for_recovery(faulty: &FaultySite, records: &Records) -> Result<(), String> {
     let site = &faulty.site;
