--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -20,6 +20,10 @@
 use crate::settings::check_key;
 use crate::settings::check_name;
 
+/// Memory that a keeper uses at most if its settings do not say, in megabytes: what the
+/// target allows a node.
+pub const DEFAULT_MEMORY_MB: u64 = 128;
+
 /// What a gateway and a keeper are both told.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -197,17 +201,26 @@
     pub common: NodeSettings,
     /// Where turns are stored.
     pub data: DataSettings,
-    /// Memory that the VM gives the process, in megabytes.
-    pub memory_mb: u64,
+    /// Memory that the VM gives the process, in megabytes. Settings of earlier builds do
+    /// not have it.
+    #[serde(default)]
+    pub memory_mb: Option<u64>,
     /// Whether the whole system starts for the first time, with empty disks.
     pub first: bool,
 }
 
+impl KeeperSettings {
+    /// Returns the memory that the process may use, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) << 20
+    }
+}
+
 impl Check for KeeperSettings {
     fn check(&self, faults: &mut Vec<Fault>) {
         self.common.check(faults);
         self.data.check(faults);
-        if self.memory_mb << 20 < MIN_MEMORY {
+        if self.memory_bytes() < MIN_MEMORY {
             faults.push(Fault::new(
                 "memory_mb",
                 format!("give the VM's memory, at least {}", MIN_MEMORY >> 20),
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -40,6 +40,7 @@
 use crate::disk::Listener;
 use crate::follow::Follower;
 use crate::follow::HOLD;
+use crate::gateway_settings::DEFAULT_MEMORY_MB;
 use crate::gateway_settings::KeeperSettings;
 use crate::http;
 use crate::http::Bounds;
@@ -510,7 +511,7 @@
     let common = &settings.common;
     let folder = &settings.data.folder;
     let most = settings.data.most << 20;
-    let budget = KeeperBudget::new(settings.memory_mb << 20, most);
+    let budget = KeeperBudget::new(settings.memory_bytes(), most);
     let clock = Clock::default();
     let now = clock.now();
     let mut ledger = Ledger::default();
@@ -540,6 +541,14 @@
         listed: false,
     });
     let replies = ReplyBudget::new(budget.replies);
+    if settings.memory_mb.is_none() {
+        let note = LogEvent::new("setting_missing").with("setting", "memory_mb");
+        let note = note.with("assumed", DEFAULT_MEMORY_MB);
+        log::note(
+            &common.node,
+            &note.with("remedy", "set it to the VM's memory in megabytes"),
+        );
+    }
     let (changed, _changes) = async_channel::bounded(1);
     let site = Site::new(&common.node, clock, common.key_digester(), changed);
     if let Some(snapshot) = site_file::read(folder) {
--- a/net/tests/keeper_memory.rs
+++ b/net/tests/keeper_memory.rs
@@ -12,6 +12,7 @@
 use limpetferry_lib::keeper_protocol::RequestId;
 use limpetferry_net::peer;
 use limpetferry_net::peer::Hello;
+use limpetferry_net::settings::Check as _;
 use limpetferry_testutils::platform_server::whole_output;
 use limpetferry_testutils::platform_site::Answer;
 use limpetferry_testutils::platform_site::PlatformSite;
@@ -262,3 +263,23 @@
         reading.cancel().await;
     });
 }
+
+#[test]
+fn settings_without_a_memory_are_served_and_too_little_is_refused() {
+    smol::block_on(async {
+        let mut site = site(DISK_MB).await;
+        let mut small = site.keeper_settings(0).clone();
+        small.memory_mb = Some(8);
+        let mut faults = Vec::new();
+        small.check(&mut faults);
+
+        site.change_keeper(0, |settings| settings.memory_mb = None)
+            .await;
+        site.wait_for_log("keeper-0", "setting_missing").await;
+        served_turn(&site, "program", None, "in;").await;
+
+        let faults: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        assert!(faults.concat().contains("memory_mb"), "{faults:?}");
+        assert!(faults.concat().contains("at least 32"), "{faults:?}");
+    });
+}
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -360,7 +360,7 @@
                     folder,
                     most: options.disk_mb,
                 },
-                memory_mb: options.memory_mb,
+                memory_mb: Some(options.memory_mb),
                 first: true,
             });
         }
--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -464,7 +464,7 @@
 fn over_memory(site: &mut PlatformSite) -> Vec<String> {
     let mut broken = Vec::new();
     for number in 0..KEEPERS {
-        let most = site.keeper_settings(number).memory_mb << 20;
+        let most = site.keeper_settings(number).memory_bytes();
         let used = site.process(&format!("keeper-{number}")).peak_memory();
         if used > most {
             broken.push(format!("keeper-{number} used {used} of {most} bytes"));
