--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -17,6 +17,9 @@
 /// Time between two checks whether a child process has exited.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
+/// Time between two checks whether the threads of a child process have stopped.
+const STOP_POLL_INTERVAL: Duration = Duration::from_millis(1);
+
 /// A running process of the site.
 pub enum Process {
     /// A task in the process of the test.
@@ -158,14 +161,17 @@
         child.wait().expect("a child can be waited for")
     }
 
-    /// Suspends a child process by SIGSTOP. Its connections stay open, and nothing
-    /// is sent on them.
+    /// Suspends a child process by SIGSTOP, and returns once all its threads have
+    /// stopped. Its connections stay open, and nothing is sent on them.
     ///
     /// # Panics
     ///
     /// Panics if it is a task, which cannot be suspended.
     pub fn freeze(&mut self) {
         signal(self.child(), "STOP");
+        while !has_stopped(self.child().id()) {
+            std::thread::sleep(STOP_POLL_INTERVAL);
+        }
     }
 
     /// Resumes a suspended child process by SIGCONT.
@@ -217,6 +223,19 @@
     }
 }
 
+/// Returns whether all threads of a process have stopped, or it has ended.
+fn has_stopped(id: u32) -> bool {
+    let threads = std::fs::read_dir(format!("/proc/{id}/task"));
+    let mut threads = threads.into_iter().flatten().flatten();
+    threads.all(|thread| {
+        // A thread that ends meanwhile has no status any more.
+        let stat = std::fs::read_to_string(thread.path().join("stat")).unwrap_or_default();
+        // The state follows the name, which is in brackets.
+        let state = stat.rsplit_once(") ").map(|(_, rest)| &rest[..1]);
+        state.is_none_or(|state| "TZX".contains(state))
+    })
+}
+
 fn signal(child: &Child, name: &str) {
     let sent = Command::new("kill")
         .arg(format!("-{name}"))
