turns: whoever opens a turn owns its end

Cause: the end of a turn was recorded by the code after it. When the caller left, the future between two of its effects was dropped, while keepers were asked, or while a server had not answered yet, and no end followed, so that the turn counted at its most until it expired.

Change: a turn is noted under a guard (Unended) that has the end of a turn that never ran recorded when it is dropped, from before the first question to keepers until the end is handed over. Ends are recorded in a task of their own, and tried four times in place of once.

--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -81,15 +81,9 @@
         if let Some(origin) = job.next_origin(&progress.binding) {
             record_origin(&job, &mut turn, &mut progress.binding, &origin);
         }
-        let started = match job.start(&mut progress).await {
-            Ok(started) => started,
-            Err(refusal) => {
-                withdraw(turn);
-                return Err(refusal);
-            }
-        };
+        let started = job.start(&mut progress).await?;
         if started.head.status != StatusCode::OK {
-            withdraw(turn);
+            drop(turn);
             return Self::failed(&job, started).await;
         }
         let service = {
@@ -383,18 +377,11 @@
     fn drop(&mut self) {
         let used = self.used();
         if let Some(turn) = self.turn.take() {
-            end_unfinished(turn, used, self.place());
+            turn.end_unwatched(used, self.place());
         }
     }
 }
 
-fn end_unfinished(turn: OpenTurn, used: u64, place: Option<Place>) {
-    smol::spawn(async move {
-        turn.end(Bytes::new(), used, false, place).await;
-    })
-    .detach();
-}
-
 /// Has keepers record the origin of a stream, if that is not what they were sent.
 fn record_origin(
     job: &Job,
@@ -412,10 +399,3 @@
         turn.record_origin(recorded);
     }
 }
-
-/// Ends a turn that has not run.
-pub fn withdraw(turn: Option<OpenTurn>) {
-    if let Some(turn) = turn {
-        end_unfinished(turn, 0, None);
-    }
-}
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -29,7 +29,6 @@
 
 use crate::allowances::Charge;
 use crate::attempt::Progress;
-use crate::flow;
 use crate::flow::Flow;
 use crate::gateway::Gateway;
 use crate::handoff;
@@ -212,13 +211,8 @@
     match job.route.kind {
         Kind::Stream { .. } => {
             let open = job.open_turn().await?;
-            match job.bind_stream(open.as_ref()) {
-                Ok(binding) => Flow::start(Arc::new(job), open, binding).await,
-                Err(refusal) => {
-                    flow::withdraw(open);
-                    Err(refusal)
-                }
-            }
+            let binding = job.bind_stream(open.as_ref())?;
+            Flow::start(Arc::new(job), open, binding).await
         }
         _ => job.plain().await,
     }
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -46,6 +46,9 @@
 const REACH_WAIT: Duration = Duration::from_millis(500);
 /// Longest wait for the first event of a turn that runs to become durable.
 const DURABLE_WAIT: Duration = Duration::from_millis(1_000);
+/// How often the end of a turn is sent to its keepers, each time until they have not
+/// answered for some seconds.
+const MAX_END_TRIES: usize = 4;
 /// Text of turns remembered in a gateway, in bytes: some 600 programs of the
 /// sheets' size, which last some four seconds each.
 const CHAIN_BYTES: usize = 16 << 20;
@@ -106,10 +109,42 @@
     pub continuation: Continuation,
 }
 
-/// A turn that may run.
+/// The note of a turn whose end is not recorded. Dropped, it has the end recorded of a
+/// turn that never ran, so that a caller who leaves leaves no turn open.
+struct Unended {
+    turns: Arc<Turns>,
+    /// `None` once somebody else records the end.
+    note: Option<TurnNote>,
+}
+
+impl Unended {
+    fn new(turns: &Arc<Turns>, note: TurnNote) -> Self {
+        Self {
+            turns: turns.clone(),
+            note: Some(note),
+        }
+    }
+
+    /// Returns the note, whose end the caller records.
+    fn take(&mut self) -> Option<TurnNote> {
+        self.note.take()
+    }
+}
+
+impl Drop for Unended {
+    fn drop(&mut self) {
+        if let Some(note) = self.note.take() {
+            self.turns.withdraw(note);
+        }
+    }
+}
+
+/// A turn that may run. It is ended by [`OpenTurn::end`]; dropped before, it counts as
+/// one that never ran.
 pub struct OpenTurn {
     turns: Arc<Turns>,
     note: TurnNote,
+    unended: Unended,
     round: Round,
     /// The round in which a later origin is recorded.
     rerecorded: Option<Round>,
@@ -245,16 +280,8 @@
         let limit = limit.min(self.clock.now() + OPEN_WAIT);
         let opened = self.reserve(note, budget, limit).await;
         let mut open = opened.map_err(|not_opened| not_opened.refusal)?;
-        match self.find_prompt(&open.note.begin, limit).await {
-            Ok(prompt) => {
-                open.prompt = prompt;
-                Ok(open)
-            }
-            Err(refusal) => {
-                self.withdraw(open.note);
-                Err(refusal)
-            }
-        }
+        open.prompt = self.find_prompt(&open.note.begin, limit).await?;
+        Ok(open)
     }
 
     /// Opens a turn without its history: notes it at its program's replicas, and
@@ -269,19 +296,21 @@
         budget: Option<u64>,
         limit: Time,
     ) -> Result<OpenTurn, NotOpened> {
+        let mut unended = Unended::new(self, note.clone());
         match self.note(&note, budget, limit).await {
             Ok(mut round) => Ok(OpenTurn {
                 turns: self.clone(),
                 places: std::mem::take(&mut round.places),
                 origin: round.opening.origin(),
                 note,
+                unended,
                 round,
                 rerecorded: None,
                 prompt: Bytes::new(),
             }),
             Err(not_opened) => {
-                if not_opened.recorded {
-                    self.withdraw(note);
+                if !not_opened.recorded {
+                    unended.take();
                 }
                 Err(not_opened)
             }
@@ -602,11 +631,33 @@
             used: 0,
             whole: false,
         };
+        drop(self.record_end(note, finish, None, HashSet::new()));
+    }
+
+    /// Records the end of a turn in a task of its own, which a caller who leaves does
+    /// not take along. The channel returns whether a majority has it on disk; if not, it
+    /// is tried again.
+    fn record_end(
+        self: &Arc<Self>,
+        note: TurnNote,
+        finish: Finish,
+        place: Option<Place>,
+        noted: HashSet<Arc<str>>,
+    ) -> async_channel::Receiver<bool> {
+        let (sender, recorded) = async_channel::bounded(1);
         let this = self.clone();
         smol::spawn(async move {
-            this.finish(&note, finish, None, &HashSet::new()).await;
+            for _ in 0..MAX_END_TRIES {
+                let done = this.finish(&note, finish.clone(), place, &noted).await;
+                // Whoever waits for it may have left; only the first result counts.
+                let _ = sender.try_send(done);
+                if done {
+                    break;
+                }
+            }
         })
         .detach();
+        recorded
     }
 }
 
@@ -641,6 +692,34 @@
 }
 
 impl OpenTurn {
+    /// Ends the turn without waiting until that is on disk.
+    pub fn end_unwatched(mut self, used: u64, place: Option<Place>) {
+        drop(self.start_end(Bytes::new(), used, false, place));
+    }
+
+    fn start_end(
+        &mut self,
+        output: Bytes,
+        used: u64,
+        whole: bool,
+        place: Option<Place>,
+    ) -> async_channel::Receiver<bool> {
+        self.unended.take();
+        let noted = self.round.noted.iter();
+        let noted = noted
+            .map(|&at| self.round.membership.keepers[at].node.clone())
+            .collect();
+        let finish = Finish {
+            turn: self.note.begin.turn.clone(),
+            program: self.note.begin.program.clone(),
+            output,
+            used,
+            whole,
+        };
+        let note = self.note.clone();
+        self.turns.record_end(note, finish, place, noted)
+    }
+
     /// Returns what the keepers have recorded of the program's other turns.
     pub fn usage(&self) -> Vec<TurnUsage> {
         self.round.opening.usage()
@@ -683,19 +762,15 @@
     /// # Panics
     ///
     /// Panics if another thread panicked while it held a lock.
-    pub async fn end(self, output: Bytes, used: u64, whole: bool, place: Option<Place>) -> bool {
-        let noted = self.round.noted.iter();
-        let noted = noted
-            .map(|&at| self.round.membership.keepers[at].node.clone())
-            .collect();
-        let finish = Finish {
-            turn: self.note.begin.turn.clone(),
-            program: self.note.begin.program.clone(),
-            output: output.clone(),
-            used,
-            whole,
-        };
-        let done = self.turns.finish(&self.note, finish, place, &noted).await;
+    pub async fn end(
+        mut self,
+        output: Bytes,
+        used: u64,
+        whole: bool,
+        place: Option<Place>,
+    ) -> bool {
+        let done = self.start_end(output.clone(), used, whole, place);
+        let done = done.recv().await.unwrap_or(false);
         if done && whole {
             self.turns.remember(vec![ChainLink {
                 turn: self.note.begin.turn.clone(),
