tests: a keeper without compaction is noticed

With compaction broken in a copy nothing failed: files_are_freed_while_long_programs_go_on allowed four times what is needed, and its long programs needed nearly everything. It now has a program with a short turn each second beside programs of one long turn, lets these expire and allows two files more than four times what is needed.

Settings are written without memory_mb where it is not given, so that tests run keepers of earlier builds.

--- a/lib/tests/keeper_memory.rs
+++ b/lib/tests/keeper_memory.rs
@@ -16,6 +16,8 @@
 const STEPS: usize = 4_000;
 /// Steps between two looks at all turns.
 const LOOK_EVERY: usize = 400;
+/// Bytes of two files, one that is written and one that is just full.
+const OPEN_FILES: u64 = 512 << 10;
 /// Sizes of the largest text: bounds on the index, on both and on texts bind.
 const LARGEST_TEXTS: [usize; 3] = [0, 2 << 10, 24 << 10];
 
@@ -67,17 +69,18 @@
 // Guards against files of short programs that a long one holds for ever.
 #[test]
 fn files_are_freed_while_long_programs_go_on() {
-    for (seed, mut world) in worlds() {
-        for step in 0..STEPS {
-            world.step();
-            if step % LOOK_EVERY == 0 {
-                world.tidy_all();
+    for seed in 0..SEEDS {
+        let mut world = KeeperWorld::new(seed, 12 << 10);
+        world.pass_with_long_program(150, 4);
+        let (before, _) = world.disk_bytes();
+        // The short programs expire.
+        world.pass_with_long_program(80, 0);
 
-                let (bytes, live) = world.disk_bytes();
-                let bound = 4 * live + (2 << 20);
-                assert!(bytes <= bound, "seed {seed}, step {step}: {bytes}, {live}");
-            }
-        }
+        let (bytes, live) = world.disk_bytes();
+        let bound = 4 * live + OPEN_FILES;
+        assert!(bytes <= bound, "seed {seed}: {bytes}, needed {live}");
+        assert!(before > 2 * bound, "seed {seed}: {before}");
+        assert_eq!(world.lost(), None, "seed {seed}");
     }
 }
 
--- a/lib/tests/keeper_world/mod.rs
+++ b/lib/tests/keeper_world/mod.rs
@@ -33,6 +33,8 @@
 const DISK: u64 = 12 << 20;
 const SEGMENT_BYTES: u64 = 256 << 10;
 const RETENTION: Duration = Duration::from_secs(75);
+/// Longest text of a program that never ends.
+const SHORT_TEXT: usize = 100;
 /// Bytes of a record beside its text and ids, at most.
 const HEAD_BYTES: usize = 24;
 
@@ -322,6 +324,25 @@
         self.refused == refused
     }
 
+    /// Passes seconds in which a program that never ends has a short turn, beside some
+    /// programs of one turn.
+    pub fn pass_with_long_program(&mut self, seconds: usize, short_programs: usize) {
+        let long: Arc<str> = "long".into();
+        for second in 0..seconds {
+            for _ in 0..short_programs {
+                self.first_turn();
+            }
+            let largest = std::mem::replace(&mut self.largest_text, SHORT_TEXT);
+            self.turn(long.clone(), None, RecordClass::LaterTurn);
+            self.largest_text = largest;
+            self.write_first(self.unwritten.len());
+            self.pass(Duration::from_secs(1));
+            if second % 5 == 0 {
+                self.tidy_all();
+            }
+        }
+    }
+
     /// Passes the time for which everything is kept, and tidies until nothing changes.
     pub fn expire_all(&mut self) {
         self.write_first(self.unwritten.len());
--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -203,7 +203,7 @@
     pub data: DataSettings,
     /// Memory that the VM gives the process, in megabytes. Settings of earlier builds do
     /// not have it.
-    #[serde(default)]
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     pub memory_mb: Option<u64>,
     /// Whether the whole system starts for the first time, with empty disks.
     pub first: bool,
--- a/net/tests/keeper_memory.rs
+++ b/net/tests/keeper_memory.rs
@@ -40,7 +40,7 @@
 async fn site(disk_mb: u64) -> PlatformSite {
     let options = SiteOptions {
         disk_mb,
-        memory_mb: MEMORY_MB,
+        memory_mb: Some(MEMORY_MB),
         ..SiteOptions::default()
     };
     PlatformSite::start_with(2, 3, 1, options).await
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -102,8 +102,9 @@
     pub long_poll: Duration,
     /// Megabytes that each keeper may store.
     pub disk_mb: u64,
-    /// Megabytes of memory that each keeper may use.
-    pub memory_mb: u64,
+    /// Megabytes of memory that each keeper may use; without it what settings of earlier
+    /// builds mean.
+    pub memory_mb: Option<u64>,
 }
 
 impl Default for SiteOptions {
@@ -113,7 +114,7 @@
             switches: Switches::default(),
             long_poll: store_watch::DEFAULT_HOLD,
             disk_mb: 100,
-            memory_mb: 128,
+            memory_mb: None,
         }
     }
 }
@@ -360,7 +361,7 @@
                     folder,
                     most: options.disk_mb,
                 },
-                memory_mb: Some(options.memory_mb),
+                memory_mb: options.memory_mb,
                 first: true,
             });
         }
