--- a/net/tests/keeper_memory.rs
+++ b/net/tests/keeper_memory.rs
@@ -9,8 +9,11 @@
 use limpetferry_lib::keeper_protocol::KeeperReply;
 use limpetferry_lib::keeper_protocol::KeeperRequest;
 use limpetferry_lib::keeper_protocol::RequestId;
+use limpetferry_lib::ledger::Begin;
+use limpetferry_lib::stream_origin::Continuation;
 use limpetferry_net::peer;
 use limpetferry_net::peer::Hello;
+use limpetferry_net::peer::Link;
 use limpetferry_net::settings::Check as _;
 use limpetferry_testutils::platform_server::whole_output;
 use limpetferry_testutils::platform_site::Answer;
@@ -118,6 +121,14 @@
     site.wait_ready().await;
 }
 
+/// Makes a link to a keeper.
+async fn dial(site: &PlatformSite, keeper: usize) -> Link {
+    let common = &site.keeper_settings(keeper).common;
+    let hello = Hello::new(NodeId::new("reader"), Boot(1), common.key_digest());
+    let link = peer::dial(&common.peers.to_string(), &hello).await;
+    link.expect("the keeper takes the link")
+}
+
 fn assert_within_memory(site: &mut PlatformSite, keepers: &[usize], when: &str) {
     for &keeper in keepers {
         let peak = site.process(&format!("keeper-{keeper}")).peak_memory();
@@ -239,10 +250,7 @@
         let last = long_chain(&site).await;
         let turn: Arc<str> = last.into();
         let keeper = site.keeper_with_turns(LONG_CHAIN as u64).await;
-        let common = &site.keeper_settings(keeper).common;
-        let hello = Hello::new(NodeId::new("reader"), Boot(1), common.key_digest());
-        let link = peer::dial(&common.peers.to_string(), &hello).await;
-        let link = link.expect("the keeper takes the link");
+        let link = dial(&site, keeper).await;
 
         let (ask, questions) = async_channel::unbounded();
         for number in 0..QUESTIONS {
@@ -273,6 +281,54 @@
     });
 }
 
+// Guards against turns that wait for an answer whose place the sync has taken: the asker
+// expects nothing after it.
+#[test]
+fn a_history_from_disk_is_answered_before_the_sync() {
+    smol::block_on(async {
+        let mut site = site(DISK_MB).await;
+        let first: Arc<str> = served_turn(&site, "program", None, "in;").await.into();
+        let keeper = site.keeper_with_turns(1).await;
+        site.change_keeper(keeper, |_| ()).await;
+        let link = dial(&site, keeper).await;
+
+        let (ask, questions) = async_channel::unbounded();
+        let note = KeeperRequest::Note {
+            begin: Begin {
+                turn: "second".into(),
+                program: "program".into(),
+                previous: Some(first.clone()),
+                input: "in;".into(),
+                most: 50,
+            },
+            chain: true,
+            epoch: u64::MAX,
+            origin: None,
+            continuation: Continuation::None,
+        };
+        let asked = ask.try_send(KeeperMessage::Ask(RequestId(0), note));
+        asked.expect("the link takes it");
+        let (incoming, answers) = async_channel::unbounded();
+        let reading = smol::spawn(async move {
+            let keep = |message: KeeperMessage| message;
+            link.run(questions, &incoming, keep).await
+        });
+        let noted = answers.recv().await.expect("an answer");
+        let synced = answers.recv().await.expect("another answer");
+
+        let KeeperMessage::Tell(_, KeeperReply::Noted { chain, .. }) = noted else {
+            panic!("{noted:?}");
+        };
+        assert_eq!(chain.len(), 1);
+        assert_eq!(chain[0].turn, first);
+        assert_eq!(
+            synced,
+            KeeperMessage::Tell(RequestId(0), KeeperReply::Synced)
+        );
+        reading.cancel().await;
+    });
+}
+
 #[test]
 fn settings_without_a_memory_are_served_and_too_little_is_refused() {
     smol::block_on(async {
