--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -416,7 +416,7 @@
             ("index", on_disk.index),
             ("cache", cached as u64),
             ("unwritten", self.disk.unwritten()),
-            ("replies", self.reads.budget().used()),
+            ("replies", self.reads.budget().used() as u64),
         ];
         for (part, bytes) in parts {
             let gauge = self.meters.memory.with_label_values(&[part]);
@@ -541,7 +541,7 @@
         whole,
         listed: false,
     });
-    let replies = ReplyBudget::new(budget.replies);
+    let replies = ReplyBudget::new(budget.replies as usize);
     if settings.memory_mb.is_none() {
         let note = LogEvent::new("setting_missing").with("setting", "memory_mb");
         let note = note.with("assumed", DEFAULT_MEMORY_MB);
--- a/net/src/keeper_reads.rs
+++ b/net/src/keeper_reads.rs
@@ -28,12 +28,12 @@
 
 use crate::disk::Job;
 use crate::disk::Listener;
+use crate::held::Hold;
 use crate::keeper_node::Keeper;
 use crate::keeper_state::SharedState;
 use crate::log;
 use crate::replies::ReplyBudget;
 use crate::replies::ReplySender;
-use crate::replies::Reservation;
 use crate::segments::SegmentTexts;
 
 /// Bytes of texts in one answer to a keeper that catches up.
@@ -354,7 +354,7 @@
         }
     }
 
-    fn reserve(&self, entries: &[ChainEntry]) -> Option<Reservation> {
+    fn reserve(&self, entries: &[ChainEntry]) -> Option<Hold> {
         let bytes = entries.iter().map(ChainEntry::size).sum();
         let reservation = self.reads.budget().reserve(bytes);
         if reservation.is_none() && !self.reads.budget().could_hold(bytes) {
--- a/net/src/replies.rs
+++ b/net/src/replies.rs
@@ -1,10 +1,6 @@
 //! Replies of a keeper on their way to the process that asked, and a bound on the
 //! memory of those with texts.
 
-use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
-
 use async_channel::Receiver;
 use async_channel::Sender;
 use limpetferry_lib::keeper_protocol::KeeperMessage;
@@ -13,67 +9,50 @@
 use serde::Serialize;
 use serde::Serializer;
 
+use crate::held::Held;
+use crate::held::Hold;
 use crate::peer::Outgoing;
 
 /// How often a text is in memory while it is sent: as it was read, and encoded.
-const COPIES: u64 = 2;
+const COPIES: usize = 2;
 
 /// A bound on the memory of replies with texts.
 #[derive(Clone)]
 pub struct ReplyBudget {
-    used: Arc<AtomicU64>,
-    most: u64,
+    held: Held,
+    most: usize,
 }
 
 impl ReplyBudget {
     /// Creates a bound of `most` bytes.
-    pub fn new(most: u64) -> Self {
+    pub fn new(most: usize) -> Self {
         Self {
-            used: Arc::default(),
+            held: Held::default(),
             most,
         }
     }
 
     /// Reserves memory to read and send `bytes` bytes of texts; `None` if there is too
     /// little.
-    pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
-        let bytes = bytes as u64 * COPIES;
-        let add = |used: u64| Some(used + bytes).filter(|&used| used <= self.most);
-        let order = Ordering::Relaxed;
-        let reserved = self.used.fetch_update(order, order, add);
-        reserved.ok().map(|_| Reservation {
-            used: self.used.clone(),
-            bytes,
-        })
+    pub fn reserve(&self, bytes: usize) -> Option<Hold> {
+        self.held.hold(bytes * COPIES, self.most)
     }
 
     /// Returns whether `bytes` bytes of texts can be sent at all.
     pub fn could_hold(&self, bytes: usize) -> bool {
-        bytes as u64 * COPIES <= self.most
+        bytes * COPIES <= self.most
     }
 
     /// Returns the bytes in use.
-    pub fn used(&self) -> u64 {
-        self.used.load(Ordering::Relaxed)
-    }
-}
-
-/// Memory for one reply, until the link has taken it.
-pub struct Reservation {
-    used: Arc<AtomicU64>,
-    bytes: u64,
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.used.fetch_sub(self.bytes, Ordering::Relaxed);
+    pub fn used(&self) -> usize {
+        self.held.bytes()
     }
 }
 
 /// A message to another process, with the memory that is reserved for it.
 pub struct Reply {
     message: KeeperMessage,
-    reservation: Option<Reservation>,
+    reservation: Option<Hold>,
 }
 
 impl Serialize for Reply {
@@ -83,7 +62,7 @@
 }
 
 impl Outgoing for Reply {
-    type Held = Option<Reservation>;
+    type Held = Option<Hold>;
 
     fn is_work(&self) -> bool {
         self.message.is_work()
@@ -116,7 +95,7 @@
         &self,
         ticket: RequestId,
         reply: KeeperReply,
-        reservation: Option<Reservation>,
+        reservation: Option<Hold>,
     ) -> bool {
         let reply = Reply {
             message: KeeperMessage::Tell(ticket, reply),
