lib: a view that lacks nothing counts without a look for the previous turn; unused origins

TurnAdmission::counts looked for the previous turn among all replies for each view, also where the view is whole. Ledger::origins has no caller since records are read with their origins.

--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -794,18 +794,6 @@
         entries
     }
 
-    /// Returns the origins of a program's streams.
-    pub fn origins(&self, program: &str) -> Vec<TurnOrigin> {
-        let turns = self.programs.get(program).map(|program| &program.turns);
-        let turns = turns.into_iter().flatten();
-        let origins = turns.filter_map(|id| {
-            let recorded = self.turns[id].origin.as_deref().cloned()?;
-            let turn = id.clone();
-            Some(TurnOrigin { turn, recorded })
-        });
-        origins.collect()
-    }
-
     /// Returns the digest of a program's records, zero if there are none.
     pub fn digest(&self, program: &str) -> u64 {
         let turns = self.programs.get(program).map(|program| &program.turns);
--- a/lib/src/turn_admission.rs
+++ b/lib/src/turn_admission.rs
@@ -132,8 +132,7 @@
             return false;
         };
         let is_only_one = self.replicas.keepers.len() == 1;
-        let is_known = self.is_first || self.previous_is_here();
-        view.whole || is_only_one && is_known
+        view.whole || is_only_one && (self.is_first || self.previous_is_here())
     }
 
     /// Returns the replicas.
