--- a/net/src/turn_end.rs
+++ b/net/src/turn_end.rs
@@ -45,9 +45,18 @@
 }
 
 impl Ending {
-    fn majority(&self, names: &HashSet<Arc<str>>) -> bool {
+    fn is_synced(&self) -> bool {
+        self.majority(|node| self.synced.contains(node))
+    }
+
+    /// Returns whether a majority was asked that may have room.
+    fn is_asked(&self) -> bool {
+        self.majority(|node| self.asked.contains(node) && !self.full.contains(node))
+    }
+
+    fn majority(&self, have: impl Fn(&str) -> bool) -> bool {
         self.replicas
-            .majority(|at| names.contains(&self.membership.keepers[at].node))
+            .majority(|at| have(&self.membership.keepers[at].node))
     }
 }
 
@@ -104,7 +113,7 @@
         let (sender, heard) = async_channel::unbounded();
         loop {
             self.ask_end(ending, note, finish, &sender);
-            if ending.majority(&ending.synced) {
+            if ending.is_synced() {
                 return Some(true);
             }
             let left = limit.since(self.clock.now());
@@ -141,8 +150,7 @@
     /// Asks a majority to put the end on disk, or all once that took long.
     fn ask_end(&self, ending: &mut Ending, note: &TurnNote, finish: &Finish, sender: &HeardSender) {
         for &at in &ending.places {
-            let open = &ending.asked - &ending.full;
-            if !ending.wide && ending.majority(&open) {
+            if !ending.wide && ending.is_asked() {
                 return;
             }
             let node = &ending.membership.keepers[at].node;
