tests: turns that are refused come back when the answer says

It sent again at once, without waiting as callers do, and refusals have become cheaper, since a turn that no keeper was asked to note is not withdrawn any more. It now waits for Retry-After between tries; it still allows 503 only, and 100 tries.

--- a/net/tests/keeper_memory.rs
+++ b/net/tests/keeper_memory.rs
@@ -103,6 +103,7 @@
             return id;
         }
         assert_eq!(answer.status, 503, "{answer:?}");
+        answer.wait_to_return().await;
     }
     panic!("no turn was served");
 }
--- a/net/tests/platform_failures.rs
+++ b/net/tests/platform_failures.rs
@@ -42,6 +42,7 @@
             return id;
         }
         assert_eq!(answer.status, 503, "{answer:?}");
+        answer.wait_to_return().await;
     }
     panic!("no turn was served");
 }
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -145,6 +145,16 @@
 }
 
 impl Answer {
+    /// Waits until the caller may come back, as the answer says; not at all if it does
+    /// not say.
+    pub async fn wait_to_return(&self) {
+        let after = self.headers.get("retry-after");
+        let after = after.and_then(|value| value.to_str().ok()?.parse().ok());
+        if let Some(seconds) = after {
+            smol::Timer::after(Duration::from_secs_f64(seconds)).await;
+        }
+    }
+
     /// Returns the body as text.
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
