--- a/net/src/turn_end.rs
+++ b/net/src/turn_end.rs
@@ -45,18 +45,9 @@
 }
 
 impl Ending {
-    fn is_synced(&self) -> bool {
-        self.majority(|node| self.synced.contains(node))
-    }
-
-    /// Returns whether a majority was asked that may have room.
-    fn is_asked(&self) -> bool {
-        self.majority(|node| self.asked.contains(node) && !self.full.contains(node))
-    }
-
-    fn majority(&self, have: impl Fn(&str) -> bool) -> bool {
+    fn majority(&self, names: &HashSet<Arc<str>>) -> bool {
         self.replicas
-            .majority(|at| have(&self.membership.keepers[at].node))
+            .majority(|at| names.contains(&self.membership.keepers[at].node))
     }
 }
 
@@ -113,7 +104,7 @@
         let (sender, heard) = async_channel::unbounded();
         loop {
             self.ask_end(ending, note, finish, &sender);
-            if ending.is_synced() {
+            if ending.majority(&ending.synced) {
                 return Some(true);
             }
             let left = limit.since(self.clock.now());
@@ -150,7 +141,8 @@
     /// Asks a majority to put the end on disk, or all once that took long.
     fn ask_end(&self, ending: &mut Ending, note: &TurnNote, finish: &Finish, sender: &HeardSender) {
         for &at in &ending.places {
-            if !ending.wide && ending.is_asked() {
+            let open = &ending.asked - &ending.full;
+            if !ending.wide && ending.majority(&open) {
                 return;
             }
             let node = &ending.membership.keepers[at].node;
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -363,21 +363,16 @@
 
     /// Has a majority of the replicas return their view, or all once that took long.
     fn look_missing(&self, round: &mut Round, begin: &Begin) {
-        self.ask_unasked(round, |_| KeeperRequest::Look {
-            program: begin.program.clone(),
-            turn: begin.turn.clone(),
-        });
-    }
-
-    /// Asks a majority of the replicas, or all once that took long: those that
-    /// were not asked, or whose link ended since.
-    fn ask_unasked(&self, round: &mut Round, question: impl Fn(&Round) -> KeeperRequest) {
         for at in round.unasked() {
             if !round.wide && round.is_asked() {
                 return;
             }
+            let question = KeeperRequest::Look {
+                program: begin.program.clone(),
+                turn: begin.turn.clone(),
+            };
             let node = &round.membership.keepers[at].node;
-            if self.replicas.ask(node, question(round), &round.sender) {
+            if self.replicas.ask(node, question, &round.sender) {
                 round.asked.insert(at);
             }
         }
@@ -470,16 +465,27 @@
         }
     }
 
-    /// Has a majority of the replicas note the turn, or all once that took long; the
-    /// first one returns its history, if that is not known here.
+    /// Asks a majority of the replicas, or all once that took long: those that
+    /// were not asked, or whose link ended since.
     fn ask_missing(&self, round: &mut Round, note: &TurnNote) {
-        self.ask_unasked(round, |round| KeeperRequest::Note {
-            begin: note.begin.clone(),
-            chain: round.asked.is_empty() && self.is_cold(&note.begin),
-            epoch: round.membership.epoch,
-            origin: note.origin.clone(),
-            continuation: note.continuation.clone(),
-        });
+        let mut chain = round.asked.is_empty() && self.is_cold(&note.begin);
+        for at in round.unasked() {
+            if !round.wide && round.is_asked() {
+                return;
+            }
+            let question = KeeperRequest::Note {
+                begin: note.begin.clone(),
+                chain,
+                epoch: round.membership.epoch,
+                origin: note.origin.clone(),
+                continuation: note.continuation.clone(),
+            };
+            let node = &round.membership.keepers[at].node;
+            if self.replicas.ask(node, question, &round.sender) {
+                round.asked.insert(at);
+                chain = false;
+            }
+        }
     }
 
     fn look(&self, round: &Round, begin: &Begin, places: &[usize]) {
