review: each run.sh names its record.txt

The path of the record is given to the case; it was made up in site2.py before. The checks, bounds and lengths are as they were.

--- a/review/site2.py
+++ b/review/site2.py
@@ -46,7 +46,8 @@
     """Writes what was sent, answered and run, with seconds since the start."""
 
     def __init__(self, folder):
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+        path = sys.argv[1] if len(sys.argv) > 1 else os.path.join(folder, "record.txt")
+        self.file = open(path, "w")
         self.start = time.monotonic()
 
     def now(self):
