keepers: programs are removed by a vote of their replicas

Cause: each keeper removed a program 75 s after it had itself last heard of it. One that missed a turn removed those before it while the program went on at the others. Two majorities still shared a keeper, but not one that had the turn: two votes denied it, and its tokens were in no view.

A keeper now removes a program only once a majority of its replicas, by the old and the new list, knows of no activity and of no program that continues from it. What was acknowledged is at a majority, so one of those that vote has heard of it. What stays may need others of the same vote, so the rest is voted on anew. The same covers chains over programs where all keepers are replicas of all programs, and records of ended requests.

Ledger::expire takes the agreed programs; tests that call it hand these over and check what they did.

--- a/lib/src/keeper_protocol.rs
+++ b/lib/src/keeper_protocol.rs
@@ -24,6 +24,8 @@
 use crate::membership::ListRequest;
 use crate::membership::Membership;
 use crate::place::Place;
+use crate::removal::IdleProgram;
+use crate::removal::ProgramActivity;
 use crate::request_ends::EndNotice;
 use crate::stream_origin::Continuation;
 use crate::stream_origin::OriginView;
@@ -142,6 +144,15 @@
     Load(LoadReport),
     /// Return the requests under which servers ended, and each change from then on.
     WatchEnds,
+    /// Return which of the programs, which the sender would remove together, are still
+    /// needed.
+    Idle {
+        /// The programs.
+        programs: Vec<IdleProgram>,
+        /// Hashes of turns that the sender does not store and from which others of its
+        /// programs continue.
+        unresolved: Vec<u64>,
+    },
 }
 
 impl KeeperRequest {
@@ -159,6 +170,7 @@
             Self::Spend(_) => "spend",
             Self::Load(_) => "load",
             Self::WatchEnds => "watch_ends",
+            Self::Idle { .. } => "idle",
         }
     }
 }
@@ -245,6 +257,15 @@
         /// When there may be room again, in milliseconds.
         retry_ms: u64,
     },
+    /// Programs that are still needed, of those that the sender of the request would
+    /// remove.
+    Active {
+        /// Whether the keeper has lost nothing that it ever acknowledged, so that the
+        /// other programs are not needed by what it knows.
+        whole: bool,
+        /// The programs that are needed.
+        programs: Vec<ProgramActivity>,
+    },
 }
 
 /// A message on a link to a keeper or between keepers.
--- a/lib/src/ledger.rs
+++ b/lib/src/ledger.rs
@@ -14,6 +14,8 @@
 use crate::hash;
 use crate::place::Place;
 use crate::place::Places;
+use crate::removal::IdleProgram;
+use crate::removal::ProgramActivity;
 use crate::request_ends;
 use crate::request_ends::EndNotice;
 use crate::request_ends::EndTally;
@@ -193,7 +195,8 @@
     /// The complete turn is stored.
     Here,
     /// The keeper has lost nothing that it acknowledged, and the turn is not
-    /// stored: it never acknowledged it.
+    /// stored: it never acknowledged it, or removed it once a majority of its
+    /// program's replicas had been inactive for the retention.
     Never,
     /// The turn is not stored, but the keeper may have lost it.
     Unsure,
@@ -379,11 +382,22 @@
     id: Arc<str>,
     turns: Vec<Arc<str>>,
     last_active: Time,
+    /// Turns from which its own continue and that are not known to be its own.
+    continues: Vec<Arc<str>>,
     /// Servers that cache its prompts. Not written to disk: a turn without this
     /// information only takes longer.
     places: Places,
 }
 
+impl ProgramTurns {
+    /// Returns whether it has been inactive for longer than `retention`, or for longer
+    /// than the retention of the system's own records.
+    fn is_idle(&self, now: Time, retention: Duration) -> bool {
+        let retention = request_ends::retention_of(&self.id).unwrap_or(retention);
+        now.since(self.last_active) > retention
+    }
+}
+
 /// All turns that one keeper stores.
 ///
 /// A text is in memory until [`Ledger::set_location`] names the record on disk that
@@ -410,6 +424,7 @@
                 id: name.clone(),
                 turns: Vec::new(),
                 last_active: now,
+                continues: Vec::new(),
                 places: Places::default(),
             }),
         };
@@ -433,7 +448,11 @@
         };
         // Shares the id of a turn that is stored.
         let known = previous.and_then(|previous| self.turns.get_key_value(previous));
+        let is_own = known.is_some_and(|(_, turn)| turn.program == *name);
         let previous = known.map(|(id, _)| id).or(previous).cloned();
+        if let Some(previous) = previous.as_ref().filter(|_| !is_own) {
+            self.note_continued(record.program(), previous);
+        }
         let Some(turn) = self.turns.get_mut(&id) else {
             return false;
         };
@@ -464,6 +483,15 @@
         true
     }
 
+    /// Notes that a program continues from a turn that is not known to be its own.
+    fn note_continued(&mut self, program: &str, turn: &Arc<str>) {
+        if let Some(program) = self.programs.get_mut(program)
+            && !program.continues.contains(turn)
+        {
+            program.continues.push(turn.clone());
+        }
+    }
+
     /// Drops the texts of a turn from which no other one can continue.
     fn drop_texts(&mut self, id: &str) {
         let Some(turn) = self.turns.get_mut(id) else {
@@ -677,23 +705,143 @@
         }
     }
 
-    /// Removes programs that have been inactive for longer than `retention`, and
-    /// returns their number. Records of the system's own have a retention of their
-    /// own.
-    pub fn expire(&mut self, now: Time, retention: Duration) -> usize {
-        let expired: HashSet<Arc<str>> = self
-            .programs
-            .iter()
-            .filter(|(id, program)| {
-                let retention = request_ends::retention_of(id).unwrap_or(retention);
-                now.since(program.last_active) > retention
+    /// Takes over that a program was active at `time`, as another keeper reports.
+    pub fn renew_program(&mut self, time: Time, program: &str) {
+        if let Some(program) = self.programs.get_mut(program) {
+            program.last_active = program.last_active.max(time);
+        }
+    }
+
+    /// Passes the activity of each program on to those from which it continues.
+    fn renew_continued(&mut self) {
+        let mut pending = Vec::new();
+        for program in self.programs.values() {
+            let turns = program.continues.iter();
+            pending.extend(turns.map(|turn| (program.last_active, turn.clone())));
+        }
+        while let Some((time, turn)) = pending.pop() {
+            let Some(turn) = self.turns.get(&turn) else {
+                continue;
+            };
+            let program = self.programs.get_mut(&turn.program);
+            let Some(program) = program.filter(|program| program.last_active < time) else {
+                continue;
+            };
+            program.last_active = time;
+            let turns = program.continues.iter();
+            pending.extend(turns.map(|turn| (time, turn.clone())));
+        }
+    }
+
+    /// Returns the programs that have been inactive here for longer than `retention`,
+    /// and that no active one continues from. Records of the system's own have a
+    /// retention of their own.
+    pub fn idle_programs(&mut self, now: Time, retention: Duration) -> Vec<IdleProgram> {
+        self.renew_continued();
+        let programs = self.programs.values();
+        let idle = programs.filter(|program| program.is_idle(now, retention));
+        let mut idle: Vec<&ProgramTurns> = idle.collect();
+        // Programs that continue from each other are removed together.
+        idle.sort_by_key(|program| program.last_active);
+        let idle = idle.into_iter().map(|program| IdleProgram {
+            program: program.id.clone(),
+            turns: program.turns.iter().map(|turn| turn_hash(turn)).collect(),
+        });
+        idle.collect()
+    }
+
+    /// Returns hashes of the turns that are not stored here and from which programs
+    /// other than `programs` continue.
+    pub fn unresolved(&self, programs: &[IdleProgram]) -> Vec<u64> {
+        let turns = self.continued_by_others(programs);
+        let missing = turns.filter(|(turn, _)| !self.turns.contains_key(*turn));
+        missing.map(|(turn, _)| turn_hash(turn)).collect()
+    }
+
+    /// Returns the turns from which programs other than `programs` continue, and when
+    /// these were last active.
+    fn continued_by_others<'a>(
+        &'a self,
+        programs: &'a [IdleProgram],
+    ) -> impl Iterator<Item = (&'a Arc<str>, Time)> {
+        let listed: HashSet<&Arc<str>> = programs.iter().map(|idle| &idle.program).collect();
+        let others = self.programs.values();
+        let others = others.filter(move |program| !listed.contains(&program.id));
+        others.flat_map(|program| {
+            let turns = program.continues.iter();
+            turns.map(|turn| (turn, program.last_active))
+        })
+    }
+
+    /// Returns which of some programs, which another keeper would remove together, are
+    /// needed: those that are active here, and those that another program continues
+    /// from, which is stored here or at the other keeper. `unresolved` are hashes of the
+    /// turns from which its programs continue.
+    pub fn activity(
+        &self,
+        now: Time,
+        retention: Duration,
+        programs: &[IdleProgram],
+        unresolved: &[u64],
+    ) -> Vec<ProgramActivity> {
+        let theirs = unresolved.iter().map(|&turn| (turn, Time::default()));
+        let mut continued: HashMap<u64, Time> = theirs.collect();
+        for (turn, last) in self.continued_by_others(programs) {
+            let time = continued.entry(turn_hash(turn)).or_default();
+            *time = last.max(*time);
+        }
+        let needed = programs.iter().filter_map(|idle| {
+            let own = self.programs.get(&idle.program);
+            let turns = own.into_iter().flat_map(|program| &program.turns);
+            let turns = turns.map(|turn| turn_hash(turn));
+            let turns = turns.chain(idle.turns.iter().copied());
+            let later = turns.filter_map(|turn| continued.get(&turn).copied());
+            let active = own.filter(|program| !program.is_idle(now, retention));
+            let times = active.map(|program| program.last_active).into_iter();
+            let last = times.chain(later).max()?;
+            Some(ProgramActivity {
+                program: idle.program.clone(),
+                idle_ms: now.since(last).as_millis() as u64,
             })
-            .map(|(id, _)| id.clone())
-            .collect();
-        for id in &expired {
+        });
+        needed.collect()
+    }
+
+    /// Returns those of the programs that are still inactive for longer than
+    /// `retention` and that no program continues from which stays.
+    pub fn removable(
+        &self,
+        now: Time,
+        retention: Duration,
+        programs: &[Arc<str>],
+    ) -> HashSet<Arc<str>> {
+        let is_idle = |id: &&Arc<str>| {
+            let program = self.programs.get(*id);
+            program.is_some_and(|program| program.is_idle(now, retention))
+        };
+        let mut idle: HashSet<Arc<str>> = programs.iter().filter(is_idle).cloned().collect();
+        let stay = self.programs.values();
+        let stay = stay.filter(|program| !idle.contains(&program.id));
+        let mut pending: Vec<&Arc<str>> = stay.flat_map(|program| &program.continues).collect();
+        while let Some(turn) = pending.pop() {
+            let Some(turn) = self.turns.get(turn) else {
+                continue;
+            };
+            if idle.remove(&turn.program) {
+                pending.extend(&self.programs[&turn.program].continues);
+            }
+        }
+        idle
+    }
+
+    /// Removes those of the programs that are [`Ledger::removable`], and returns their
+    /// number.
+    pub fn expire(&mut self, now: Time, retention: Duration, programs: &[Arc<str>]) -> usize {
+        let removable = self.removable(now, retention, programs);
+        for id in &removable {
             self.drop_program(id);
         }
-        expired.len()
+        removable.len()
     }
 
     fn drop_program(&mut self, id: &str) {
@@ -866,6 +1014,10 @@
     }
 }
 
+fn turn_hash(id: &str) -> u64 {
+    hash::mixed_fnv(id.bytes())
+}
+
 /// Joins records with the origins of their turns' streams.
 pub fn with_origins(records: Vec<Record>, origins: Vec<TurnOrigin>) -> Vec<StoredRecord> {
     let origins = origins.into_iter();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -68,6 +68,7 @@
 pub mod rank;
 pub mod rate_limiter;
 pub mod regression;
+pub mod removal;
 mod replication;
 pub mod report_schedule;
 pub mod request_ends;
--- a/lib/tests/keeper_world/mod.rs
+++ b/lib/tests/keeper_world/mod.rs
@@ -274,7 +274,9 @@
 
     /// Drops what has expired, removes files and compacts one.
     pub fn tidy(&mut self) {
-        self.ledger.expire(self.now, RETENTION);
+        let idle = self.ledger.idle_programs(self.now, RETENTION).into_iter();
+        let idle: Vec<Arc<str>> = idle.map(|idle| idle.program).collect();
+        self.ledger.expire(self.now, RETENTION, &idle);
         self.remove_dead();
         let is_pressed = self.budget.is_pressed(&self.usage());
         let disk = self.ledger.disk();
--- a/lib/tests/request_ends.rs
+++ b/lib/tests/request_ends.rs
@@ -154,6 +154,7 @@
     let dropped = ledger.expire(
         Time::default() + RETENTION + Duration::from_millis(1),
         Duration::from_secs(3_600),
+        &[begin.program],
     );
 
     assert_eq!(kept.map(|notice| notice.ended), Some(1));
--- a/lib/tests/retention.rs
+++ b/lib/tests/retention.rs
@@ -54,8 +54,17 @@
     ledger.apply(Time::default(), Record::Begin(begin));
     let retention = ledger::retention(Some(&routing(&[0, 300, 60])));
 
-    let early = ledger.expire(Time::default() + Duration::from_secs(300), retention);
-    let late = ledger.expire(Time::default() + Duration::from_secs(330), retention);
+    let agreed = ["program".into()];
+    let early = ledger.expire(
+        Time::default() + Duration::from_secs(300),
+        retention,
+        &agreed,
+    );
+    let late = ledger.expire(
+        Time::default() + Duration::from_secs(330),
+        retention,
+        &agreed,
+    );
 
     assert_eq!((early, late), (0, 1));
 }
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -20,7 +20,6 @@
 use limpetferry_lib::keeper_protocol::KeeperReply;
 use limpetferry_lib::keeper_protocol::KeeperRequest;
 use limpetferry_lib::keeper_protocol::RequestId;
-use limpetferry_lib::ledger;
 use limpetferry_lib::ledger::Ledger;
 use limpetferry_lib::ledger::Record;
 use limpetferry_lib::ledger::StoredRecord;
@@ -57,6 +56,7 @@
 use crate::peer::Hello;
 use crate::platform_store::PlatformStore;
 use crate::reload::Live;
+use crate::removals::Removals;
 use crate::replicas::Replicas;
 use crate::replies::ReplyBudget;
 use crate::replies::ReplySender;
@@ -65,8 +65,6 @@
 use crate::site_file;
 use crate::timeout::within;
 
-/// Time between looks for programs that are no longer wanted.
-const EXPIRE_EVERY: Duration = Duration::from_secs(5);
 /// Time between looks whether the list of keepers has changed. It goes to disk
 /// at once: whoever starts while the store is away has to go by it.
 const LIST_EVERY: Duration = Duration::from_millis(50);
@@ -320,6 +318,10 @@
             }
             KeeperRequest::Spend(uses) => self.count(&asker.process, &uses),
             KeeperRequest::Load(report) => self.take_load(&asker.process, &report),
+            KeeperRequest::Idle {
+                programs,
+                unresolved,
+            } => self.active_programs(&programs, &unresolved),
             KeeperRequest::WatchEnds => return self.watch_ends(ticket, sender),
             KeeperRequest::Follow { after } => {
                 self.site.note_revision(after);
@@ -381,27 +383,6 @@
         epoch < self.site.known().keepers.epoch
     }
 
-    async fn expire(self: Arc<Self>) {
-        loop {
-            smol::Timer::after(EXPIRE_EVERY).await;
-            let retention = ledger::retention(self.site.known().routing.as_deref());
-            let now = self.clock.now();
-            let mut state = self.state();
-            let dropped = state.ledger.expire(now, retention);
-            let live = state.ledger.disk().total().live_bytes;
-            self.room.set_expiry(state.ledger.next_expiry(retention));
-            drop(state);
-            self.note_room();
-            let is_pressed = self.is_pressed();
-            self.disk.send(Job::Tidy { is_pressed });
-            if dropped > 0 {
-                let note = LogEvent::new("programs_expired").with("count", dropped);
-                let note = note.with("live_bytes", live);
-                self.note(note.with("disk_bytes", self.disk.bytes()));
-            }
-        }
-    }
-
     fn measure(&self) {
         let state = self.state();
         self.meters.turns.set(state.ledger.len() as i64);
@@ -586,7 +567,6 @@
     let shown = keeper.clone();
     let shown = metrics::handler(&keeper.meters.registry, move || shown.state().whole);
     smol::spawn(http::serve(metrics, Bounds::SMALL, shown, closed)).detach();
-    smol::spawn(keeper.clone().expire()).detach();
     smol::spawn(keeper.clone().keep_site()).detach();
     let store = PlatformStore::new(common.store);
     smol::spawn(site.follow(store, common.watch_hold())).detach();
@@ -600,6 +580,8 @@
         clock,
     };
     smol::spawn(follower.follow_as_keeper()).detach();
+    let removals = Removals::new(keeper.clone(), replicas.clone(), common.faults);
+    smol::spawn(removals.follow()).detach();
     let list = KeeperList::new(keeper.clone(), replicas, &settings);
     smol::spawn(list.follow()).detach();
     let _ = stop.recv().await;
--- a/net/src/keeper_state.rs
+++ b/net/src/keeper_state.rs
@@ -28,11 +28,17 @@
 }
 
 impl State {
+    /// Returns whether what the keeper does not store was never acknowledged by it, or
+    /// was removed.
+    pub fn is_certain(&self) -> bool {
+        self.whole && self.listed
+    }
+
     /// Returns whether the keeper stores a turn.
     pub fn presence(&self, turn: &str) -> Presence {
         if self.ledger.has_complete(turn) {
             Presence::Here
-        } else if self.whole && self.listed {
+        } else if self.is_certain() {
             Presence::Never
         } else {
             Presence::Unsure
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod registration;
 pub mod relay;
 pub mod reload;
+mod removals;
 pub mod replicas;
 pub mod replies;
 pub mod segments;
--- a/net/src/peer.rs
+++ b/net/src/peer.rs
@@ -83,7 +83,7 @@
 }
 
 /// Messages that this code understands; larger numbers are later ones.
-const DIALECT: u32 = 4;
+const DIALECT: u32 = 5;
 
 /// What both ends say first.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -130,6 +130,11 @@
     pub fn understands_full(&self) -> bool {
         self.dialect >= 4
     }
+
+    /// Returns whether the process says which programs are still in use.
+    pub fn agrees_on_removal(&self) -> bool {
+        self.dialect >= 5
+    }
 }
 
 /// Decodes the first frame of a link.
--- a/net/src/replicas.rs
+++ b/net/src/replicas.rs
@@ -50,6 +50,8 @@
     takes_load: bool,
     /// Whether the keeper reports requests that ended servers.
     reports_ends: bool,
+    /// Whether the keeper says which programs are still in use.
+    agrees_on_removal: bool,
     /// Since when the link has been as it is now.
     since: Time,
     pending: HashMap<RequestId, HeardSender>,
@@ -136,6 +138,7 @@
                 counting: None,
                 takes_load: false,
                 reports_ends: false,
+                agrees_on_removal: false,
                 since: self.clock.now(),
                 pending: HashMap::new(),
                 task,
@@ -217,6 +220,18 @@
         dialled.is_some_and(|dialled| dialled.sender.is_some() && !dialled.reports_ends)
     }
 
+    /// Returns whether there is a link to a keeper of a build that removes programs by
+    /// what it heard itself, and cannot be asked.
+    ///
+    /// # Panics
+    ///
+    /// Panics if another thread panicked while it held the lock.
+    pub fn removes_alone(&self, node: &str) -> bool {
+        let inner = self.inner();
+        let dialled = inner.keepers.get(node);
+        dialled.is_some_and(|dialled| dialled.sender.is_some() && !dialled.agrees_on_removal)
+    }
+
     /// Returns the keepers to which there is a link, or was one less than
     /// `wait` ago.
     ///
@@ -283,6 +298,7 @@
             dialled.counting = link.peer.counts_allowances().then_some(link.peer.boot);
             dialled.takes_load = link.peer.takes_load();
             dialled.reports_ends = link.peer.reports_ends();
+            dialled.agrees_on_removal = link.peer.agrees_on_removal();
             dialled.since = self.clock.now();
         }
         if let Some(ends) = self.ends.as_ref().filter(|_| link.peer.reports_ends()) {
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -542,7 +542,8 @@
                 | KeeperReply::Taken
                 | KeeperReply::Spent(_)
                 | KeeperReply::Loads(_)
-                | KeeperReply::Ends(_),
+                | KeeperReply::Ends(_)
+                | KeeperReply::Active { .. },
             ) => return Some(NextAction::Wait),
             Some(KeeperReply::Full { retry_ms }) => {
                 round.full.insert(at, Duration::from_millis(retry_ms));
