--- a/net/src/removals.rs
+++ b/net/src/removals.rs
@@ -20,8 +20,8 @@
 
 /// Time between looks for programs that are no longer wanted.
 const REMOVE_EVERY: Duration = Duration::from_secs(5);
-/// Longest wait for the votes of other keepers. A vote is void after it, as the program
-/// may have gone on since.
+/// Longest wait for the votes of other keepers. After twice the wait, as when the process
+/// was frozen, a vote is void: programs may have gone on since.
 const VOTE_WAIT: Duration = Duration::from_millis(2_000);
 /// Votes on the same programs, each on those that the one before left.
 const MAX_VOTES: usize = 4;
