--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::Parser;
 use limpetferry_net::entry_node;
+use limpetferry_net::signals::CaughtSignals;
 use limpetferry_net::start::start;
 
 /// Runs the limpetferry entry process.
@@ -19,6 +20,7 @@
 }
 
 fn main() -> eyre::Result<()> {
+    let signals = CaughtSignals::catch()?;
     let args = Args::parse();
-    start(&args.settings, args.check, entry_node::run)
+    start(signals, &args.settings, args.check, entry_node::run)
 }
--- a/gateway/src/main.rs
+++ b/gateway/src/main.rs
@@ -4,6 +4,7 @@
 
 use clap::Parser;
 use limpetferry_net::gateway;
+use limpetferry_net::signals::CaughtSignals;
 use limpetferry_net::start::start_live;
 use limpetferry_platform::SETTINGS_VARIABLE;
 
@@ -20,6 +21,7 @@
 }
 
 fn main() -> eyre::Result<()> {
+    let signals = CaughtSignals::catch()?;
     let args = Args::parse();
-    start_live(&args.settings, args.check, gateway::run)
+    start_live(signals, &args.settings, args.check, gateway::run)
 }
--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -9,8 +9,7 @@
 use crate::reload::Live;
 use crate::settings;
 use crate::settings::Check;
-use crate::signals::reload_signal;
-use crate::signals::stop_signal;
+use crate::signals::CaughtSignals;
 
 /// Does the same as [`start`] for a process that takes changed settings while
 /// it runs.
@@ -19,6 +18,7 @@
 ///
 /// Returns an error if the settings have faults, or that of the process.
 pub fn start_live<S, F>(
+    signals: CaughtSignals,
     file: &Path,
     check: bool,
     run: impl FnOnce(Live<S>, Receiver<()>) -> F,
@@ -27,13 +27,13 @@
     S: Check + PartialEq + Send + Sync + 'static,
     F: Future<Output = eyre::Result<()>> + Send + 'static,
 {
-    start(file, check, |settings: S, stop| {
+    let CaughtSignals { stop, reload } = signals;
+    run_with(stop, file, check, |settings: S, stop| {
         let node = settings.node().to_owned();
         let live = Live::new(file, settings);
-        let reload = reload_signal();
         let running = run(live.clone(), stop);
         async move {
-            smol::spawn(live.follow(node, reload?)).detach();
+            smol::spawn(live.follow(node, reload)).detach();
             running.await
         }
     })
@@ -46,6 +46,20 @@
 ///
 /// Returns an error if the settings have faults, or that of the process.
 pub fn start<S, F>(
+    signals: CaughtSignals,
+    file: &Path,
+    check: bool,
+    run: impl FnOnce(S, Receiver<()>) -> F,
+) -> eyre::Result<()>
+where
+    S: Check,
+    F: Future<Output = eyre::Result<()>> + Send + 'static,
+{
+    run_with(signals.stop, file, check, run)
+}
+
+fn run_with<S, F>(
+    stop: Receiver<()>,
     file: &Path,
     check: bool,
     run: impl FnOnce(S, Receiver<()>) -> F,
@@ -60,7 +74,6 @@
         return Ok(());
     }
     log::init(settings.log())?;
-    let stop = stop_signal()?;
     // Everything runs on the executor's one thread. Waiting for it without a
     // reactor of its own keeps this thread from taking events away from it.
     futures_lite::future::block_on(smol::spawn(run(settings, stop)))
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -1,7 +1,6 @@
 //! Processes of a site: tasks of the test, or child processes that a test can
 //! kill, suspend and stop.
 
-use crate::listen::lock_ports;
 use std::future::Future;
 use std::path::Path;
 use std::path::PathBuf;
@@ -12,8 +11,12 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use rustix::process::Pid;
+use rustix::process::Signal;
 use serde::Serialize;
 
+use crate::listen::lock_ports;
+
 /// Time between two checks whether a child process has exited.
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -78,13 +81,23 @@
         let file = folder.join(format!("{node}.json"));
         let text = serde_json::to_vec_pretty(settings).expect("settings can be serialised");
         std::fs::write(&file, text).expect("the temporary folder can be written");
-        let log = std::fs::File::create(folder.join(format!("{node}.log")));
+        Self::spawn_file(name, &file, &folder.join(format!("{node}.log")))
+    }
+
+    /// Starts a program of the workspace with the settings in `file`. Its output goes to
+    /// `log`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program was not built.
+    pub fn spawn_file(name: &str, file: &Path, log: &Path) -> Self {
+        let log = std::fs::File::create(log);
         let output = log.as_ref().ok().and_then(|log| log.try_clone().ok());
         let output = output.map_or_else(Stdio::null, Stdio::from);
         let _ports = lock_ports();
         let child = Command::new(program_path(name))
             .arg("--settings")
-            .arg(&file)
+            .arg(file)
             .stdin(Stdio::null())
             .stdout(output)
             .stderr(log.map_or_else(|_| Stdio::null(), Stdio::from))
@@ -131,7 +144,31 @@
             Self::Task { stop, .. } => {
                 let _ = stop.send(()).await;
             }
-            Self::Child(child) => signal(child, "TERM"),
+            Self::Child(child) => signal(child, Signal::TERM),
+        }
+    }
+
+    /// Interrupts a child process by SIGINT, as a terminal does.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is a task.
+    pub fn interrupt(&mut self) {
+        signal(self.child(), Signal::INT);
+    }
+
+    /// Waits until a child process has exited, and returns its status.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is a task, or its status cannot be read.
+    pub async fn exit_status(&mut self) -> ExitStatus {
+        loop {
+            let status = self.child().try_wait();
+            match status.expect("a child can be waited for") {
+                Some(status) => return status,
+                None => smol::Timer::after(EXIT_POLL_INTERVAL).await,
+            };
         }
     }
 
@@ -168,7 +205,7 @@
     ///
     /// Panics if it is a task, which cannot be suspended.
     pub fn freeze(&mut self) {
-        signal(self.child(), "STOP");
+        signal(self.child(), Signal::STOP);
         while !has_stopped(self.child().id()) {
             std::thread::sleep(STOP_POLL_INTERVAL);
         }
@@ -180,7 +217,7 @@
     ///
     /// Panics if it is a task, which cannot be suspended.
     pub fn thaw(&mut self) {
-        signal(self.child(), "CONT");
+        signal(self.child(), Signal::CONT);
     }
 
     /// Requests a child process to reload its settings, by SIGHUP.
@@ -189,7 +226,7 @@
     ///
     /// Panics if it is a task.
     pub fn hang_up(&mut self) {
-        signal(self.child(), "HUP");
+        signal(self.child(), Signal::HUP);
     }
 
     /// Returns the process id.
@@ -236,16 +273,11 @@
     })
 }
 
-fn signal(child: &Child, name: &str) {
-    let sent = Command::new("kill")
-        .arg(format!("-{name}"))
-        .arg(child.id().to_string())
-        .status();
-    assert!(
-        sent.is_ok_and(|status| status.success()),
-        "cannot send a signal to process {}",
-        child.id()
-    );
+/// Sends a signal by a system call of this process: a program that sends it takes longer
+/// than the first moments of a start last.
+fn signal(child: &Child, signal: Signal) {
+    rustix::process::kill_process(Pid::from_child(child), signal)
+        .unwrap_or_else(|error| panic!("cannot send a signal to {}: {error}", child.id()));
 }
 
 impl Drop for Process {
