gateway: a budget of its memory from the VM's size

Operators saw gateways with the same bounds on VMs of 88 to 512 MB: `connections` 2500 and `bodies_mb` 24 for each of them, which allow more than the smallest VM has.

GatewayBudget divides `memory_mb` over connections, heads, bodies, answers, bytes that arrive and log lines, as the keepers' budget does. `connections` and `bodies_mb` become optional upper bounds: the smaller of setting and memory holds, with a line `setting_lowered`. Without `memory_mb`, 128 MB are assumed, with a line `setting_missing`. Settings files of earlier builds still work.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod fair_refusal;
 pub mod fingerprint;
 pub mod fleet;
+pub mod gateway_budget;
 pub mod handoff;
 pub mod handoff_target;
 mod hash;
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -14,6 +14,7 @@
 use limpetferry_lib::call::Program;
 use limpetferry_lib::effect::LogEvent;
 use limpetferry_lib::fingerprint::Fingerprinter;
+use limpetferry_lib::gateway_budget::GatewayBudget;
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::load_shed::LoadShedder;
@@ -32,6 +33,7 @@
 use crate::clock::Clock;
 use crate::dispatch::Dispatch;
 use crate::follow::Follower;
+use crate::gateway_settings::DEFAULT_MEMORY_MB;
 use crate::gateway_settings::GatewaySettings;
 use crate::handoff::Handoffs;
 use crate::handoff::Served;
@@ -67,9 +69,6 @@
 mod notes;
 
 /// Time between looks for connections that were idle for too long, and for
-/// Part of the bytes that a gateway holds which the kept output of one stream may have, as
-/// a divisor.
-const OUTPUT_SHARE: usize = 4;
 /// the keepers within reach.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
 /// Time between timers whose lateness is measured.
@@ -129,14 +128,19 @@
 }
 
 impl Gateway {
+    /// Returns the bounds on its memory.
+    pub fn budget(&self) -> GatewayBudget {
+        self.live.get().budget()
+    }
+
     /// Returns the most bytes of requests that it holds at once.
     pub fn most_held(&self) -> usize {
-        self.live.get().bodies_mb << 20
+        self.budget().bodies as usize
     }
 
     /// Returns the most bytes that a stream may have whose output is kept.
     pub fn most_output(&self) -> usize {
-        self.most_held() / OUTPUT_SHARE
+        self.budget().answer() as usize
     }
 
     /// Returns the servers whose entry may describe an earlier start, locked.
@@ -438,7 +442,7 @@
         loads: loads.clone(),
         dispatch: Dispatch::new(
             settings.switches.queue,
-            (settings.bodies_mb << 20) / QUEUED_SHARE,
+            settings.budget().bodies as usize / QUEUED_SHARE,
             site.clone(),
             clock,
         ),
@@ -459,6 +463,7 @@
     gateway.meters.admitted.set(100);
     let note = LogEvent::new("started").with("role", "gateway");
     gateway.note(note.with("callers", settings.callers));
+    note_memory(&gateway, &settings);
     let (close, closed) = async_channel::bounded::<()>(1);
     let callers = bind("callers", settings.callers)?;
     let ready = bind("ready", settings.ready)?;
@@ -493,7 +498,7 @@
     .detach();
     let limits = Limits::default();
     let bounds = Bounds {
-        connections: settings.connections,
+        connections: settings.budget().connections,
         head: limits.max_head_bytes,
         // Callers use connections that were idle for up to four fifths of it.
         wait: limits.idle_timeout,
@@ -535,6 +540,29 @@
     Ok(())
 }
 
+/// Logs what the settings leave out, and bounds of them that the memory lowers.
+fn note_memory(gateway: &Gateway, settings: &GatewaySettings) {
+    if settings.memory_mb.is_none() {
+        let note = LogEvent::new("setting_missing").with("setting", "memory_mb");
+        let note = note.with("assumed", DEFAULT_MEMORY_MB);
+        gateway.note(note.with("remedy", "set it to the VM's memory in megabytes"));
+    }
+    let budget = settings.budget();
+    let bodies = settings.bodies_mb.map(|most| (most as u64) << 20);
+    let connections = settings.connections.map(|most| most as u64);
+    let bounds = [
+        ("connections", connections, budget.connections as u64),
+        ("bodies_mb", bodies, budget.bodies),
+    ];
+    for (setting, asked, used) in bounds {
+        if asked.is_some_and(|asked| asked > used) {
+            let note = LogEvent::new("setting_lowered").with("setting", setting);
+            let note = note.with("used", used);
+            gateway.note(note.with("remedy", "raise memory_mb or leave the setting out"));
+        }
+    }
+}
+
 fn handler(gateway: &Arc<Gateway>) -> Handler {
     let gateway = gateway.clone();
     Arc::new(move |request| {
--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -6,6 +6,8 @@
 use limpetferry_lib::allowance::AllowanceBounds;
 use limpetferry_lib::document::Fault;
 use limpetferry_lib::fingerprint::Fingerprinter;
+use limpetferry_lib::gateway_budget;
+use limpetferry_lib::gateway_budget::GatewayBudget;
 use limpetferry_lib::id::Digest;
 use limpetferry_lib::keeper_budget::MIN_MEMORY;
 use limpetferry_lib::store_watch;
@@ -20,7 +22,7 @@
 use crate::settings::check_key;
 use crate::settings::check_name;
 
-/// Memory that a keeper uses at most if its settings do not say, in megabytes: what the
+/// Memory that a gateway or a keeper uses at most if its settings do not say, in megabytes: what the
 /// target allows a node.
 pub const DEFAULT_MEMORY_MB: u64 = 128;
 
@@ -137,10 +139,17 @@
     pub callers: SocketAddr,
     /// Address where the platform asks whether the process takes callers.
     pub ready: SocketAddr,
-    /// Connections of callers at once.
-    pub connections: usize,
-    /// Megabytes of requests' bodies that are held at once.
-    pub bodies_mb: usize,
+    /// Memory that the VM gives the process, in megabytes. Settings of earlier builds do
+    /// not have it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<u64>,
+    /// Connections of callers at once, if they are to be fewer than the memory allows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub connections: Option<usize>,
+    /// Megabytes of requests' bodies that are held at once, if they are to be fewer than
+    /// the memory allows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub bodies_mb: Option<usize>,
     /// Which decisions are made.
     #[serde(default)]
     pub switches: Switches,
@@ -167,13 +176,35 @@
     }
 }
 
+impl GatewaySettings {
+    /// Returns the memory that the process may use, in bytes.
+    pub fn memory_bytes(&self) -> u64 {
+        self.memory_mb.unwrap_or(DEFAULT_MEMORY_MB) << 20
+    }
+
+    /// Returns the bounds on what the process uses.
+    pub fn budget(&self) -> GatewayBudget {
+        let bodies = self.bodies_mb.map(|most| (most as u64) << 20);
+        GatewayBudget::new(self.memory_bytes()).limited(self.connections, bodies)
+    }
+}
+
 impl Check for GatewaySettings {
     fn check(&self, faults: &mut Vec<Fault>) {
         self.common.check(faults);
-        if self.connections == 0 {
+        if self.memory_bytes() < gateway_budget::MIN_MEMORY {
+            faults.push(Fault::new(
+                "memory_mb",
+                format!(
+                    "give the VM's memory, at least {}",
+                    gateway_budget::MIN_MEMORY >> 20
+                ),
+            ));
+        }
+        if self.connections == Some(0) {
             faults.push(Fault::new("connections", "give a number above zero"));
         }
-        if self.bodies_mb == 0 {
+        if self.bodies_mb == Some(0) {
             faults.push(Fault::new("bodies_mb", "give a number above zero"));
         }
         if self.capacity.is_some_and(|capacity| !capacity.is_sound()) {
--- a/net/tests/long_bodies.rs
+++ b/net/tests/long_bodies.rs
@@ -33,7 +33,7 @@
     smol::block_on(async {
         let mut site = PlatformSite::start(1, 3, 1).await;
         let hold = |settings: &mut limpetferry_net::gateway_settings::GatewaySettings| {
-            settings.bodies_mb = HELD_MB;
+            settings.bodies_mb = Some(HELD_MB);
         };
         site.change_gateway(0, hold).await;
         let piece = "x".repeat(SENT);
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -46,6 +46,8 @@
 pub const HOST: &str = "agents.example";
 /// Version of the servers that a site starts with.
 pub const FIRST_VERSION: &str = "v1";
+/// Memory of a gateway's VM, in megabytes.
+const GATEWAY_MEMORY_MB: u64 = 256;
 /// Longest wait until the site is ready or another awaited condition holds; a test
 /// that needs longer fails.
 const CONDITION_TIMEOUT: Duration = Duration::from_secs(30);
@@ -392,8 +394,9 @@
                 common: self.node_settings(&format!("gateway-{number}"), store, faults),
                 callers: free(),
                 ready: free(),
-                connections: 1_000,
-                bodies_mb: 24,
+                memory_mb: Some(GATEWAY_MEMORY_MB),
+                connections: Some(1_000),
+                bodies_mb: Some(24),
                 switches: self.switches,
                 capacity: None,
             };
