log: a panic is one line of the log, and is counted

Operators saw nothing: a task or thread that panicked left a report of a dozen frames on standard error, which is often not kept, and no line with `event=`. Which process it was, and which of its tasks was gone, was in no log and no metric.

Cause: the default panic hook. It writes to standard error, and may block on a pipe that nobody reads.

`panics::install` replaces it, right after logging has started, by one line `event=panicked thread= at= why=`; `limpetferry_panics_total` counts them (all four programs). The first eight are flushed before the thread unwinds, as the process may end with them; a flush blocks its thread for up to 0.3 s, so those of a request that panics each time are left to the log's thread. The log's own lock is used on after a panic, as the hook takes it.

Evidence: net/tests/panics.rs (a panic of a named thread with a line break in its text: one line, nothing forged).

--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod metrics;
 pub mod operators;
 mod overload_watch;
+pub mod panics;
 pub mod peer;
 pub mod platform_store;
 pub mod pool;
--- a/net/src/log_queue.rs
+++ b/net/src/log_queue.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -44,6 +46,14 @@
     shared: Arc<Shared>,
 }
 
+impl Shared {
+    /// Returns the lines, locked. A panic elsewhere is logged too, so a lock that a
+    /// panic poisoned is used on: bytes and counts stay valid at each step.
+    fn lock(&self) -> MutexGuard<'_, Waiting> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 impl LogQueue {
     /// Starts the thread that writes the lines to `output`.
     ///
@@ -60,12 +70,8 @@
     }
 
     /// Adds a line, or drops it if too many wait.
-    ///
-    /// # Panics
-    ///
-    /// Panics if another thread panicked while it held the lock.
     pub fn push(&self, line: &[u8]) {
-        let mut waiting = self.shared.waiting.lock().expect("no panic while locked");
+        let mut waiting = self.shared.lock();
         if waiting.bytes.len() + line.len() > MAX_WAITING {
             waiting.dropped += 1;
             return;
@@ -79,28 +85,16 @@
     }
 
     /// Returns the number of lines dropped since the last line that told it.
-    ///
-    /// # Panics
-    ///
-    /// Panics if another thread panicked while it held the lock.
     pub fn dropped(&self) -> u64 {
-        self.shared
-            .waiting
-            .lock()
-            .expect("no panic while locked")
-            .dropped
+        self.shared.lock().dropped
     }
 
     /// Waits a moment for all lines to be written.
-    ///
-    /// # Panics
-    ///
-    /// Panics if another thread panicked while it held the lock.
     pub fn flush(&self) {
         let start = Instant::now();
         while start.elapsed() < FLUSH_WAIT {
             {
-                let waiting = self.shared.waiting.lock().expect("no panic while locked");
+                let waiting = self.shared.lock();
                 if waiting.bytes.is_empty() && !waiting.writing {
                     return;
                 }
@@ -112,13 +106,16 @@
 
 fn write_all(shared: &Shared, mut output: impl Write) {
     loop {
-        let mut waiting = shared.waiting.lock().expect("no panic while locked");
+        let mut waiting = shared.lock();
         while waiting.bytes.is_empty() {
-            waiting = shared.filled.wait(waiting).expect("no panic while locked");
+            waiting = shared
+                .filled
+                .wait(waiting)
+                .unwrap_or_else(PoisonError::into_inner);
         }
         drop(waiting);
         std::thread::sleep(GATHER);
-        let mut waiting = shared.waiting.lock().expect("no panic while locked");
+        let mut waiting = shared.lock();
         let mut bytes = std::mem::take(&mut waiting.bytes);
         let dropped = std::mem::take(&mut waiting.dropped);
         waiting.writing = true;
@@ -128,7 +125,7 @@
         }
         // Without a reader there is nobody to tell.
         let _ = output.write_all(&bytes).and_then(|()| output.flush());
-        let mut waiting = shared.waiting.lock().expect("no panic while locked");
+        let mut waiting = shared.lock();
         waiting.writing = false;
     }
 }
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -10,6 +10,8 @@
 use prometheus::Opts;
 use prometheus::Registry;
 
+use crate::panics;
+
 /// Bounds of the buckets of times, in seconds: from a cached lookup to the
 /// longest timeout of a route.
 const SECONDS: [f64; 12] = [
@@ -23,6 +25,7 @@
 impl Maker {
     fn new() -> prometheus::Result<Self> {
         let registry = Registry::new_custom(Some("limpetferry".into()), None)?;
+        registry.register(Box::new(panics::counter()))?;
         Ok(Self { registry })
     }
 
--- a/net/src/metrics.rs
+++ b/net/src/metrics.rs
@@ -22,6 +22,7 @@
 use crate::http::Handler;
 use crate::http::json;
 use crate::http::whole;
+use crate::panics;
 
 /// The metrics of one process.
 #[derive(Clone, Debug)]
@@ -60,6 +61,7 @@
     /// Returns an error if two metrics have the same name.
     pub fn new() -> prometheus::Result<Self> {
         let registry = Registry::new_custom(Some("limpetferry".into()), None)?;
+        registry.register(Box::new(panics::counter()))?;
         let gauge = |name: &str, help: &str| {
             let gauge = IntGauge::new(name, help)?;
             registry.register(Box::new(gauge.clone()))?;
--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -6,6 +6,7 @@
 use async_channel::Receiver;
 
 use crate::log;
+use crate::panics;
 use crate::reload::Live;
 use crate::settings;
 use crate::settings::Check;
@@ -60,6 +61,7 @@
         return Ok(());
     }
     log::init(settings.log())?;
+    panics::install(settings.node());
     let stop = stop_signal()?;
     // Everything runs on the executor's one thread. Waiting for it without a
     // reactor of its own keeps this thread from taking events away from it.
