start: a start that fails says why in one line, with an exit code of its own

Operators saw a report with a dozen frames of backtrace on standard error, or nothing, when a process could not start: no `event=` line, not which process, not which setting, and code 1 for everything.

Cause: `main` returned eyre's report, and an error of serde has a line and a column of the file, not the name of a setting.

Now the start ends with `ExitCode` after a line `event=start_failed`, at level ERROR, flushed, in the log or on standard error while there is none. Refused settings end with 5, and a line for each fault has `setting`, `value`, `why` and `remedy`; the setting and its value are found from the position in the text. Keys are not shown. Everything else that a start cannot get over ends with 1, as before; `--check` stays at 1. `started` has `version`, `pid` and `start_ms`. Faults of entries and side processes have the whole path (`common.key` for `key`), as those of gateways and keepers have.

--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -1,6 +1,7 @@
 //! The limpetferry entry process.
 
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use clap::Parser;
 use limpetferry_net::entry_node;
@@ -19,8 +20,8 @@
     check: bool,
 }
 
-fn main() -> eyre::Result<()> {
-    let signals = CaughtSignals::catch()?;
+fn main() -> ExitCode {
+    let signals = CaughtSignals::catch();
     let args = Args::parse();
     start(signals, &args.settings, args.check, entry_node::run)
 }
--- a/keeper/src/main.rs
+++ b/keeper/src/main.rs
@@ -1,6 +1,7 @@
 //! The limpetferry keeper process.
 
 use std::path::PathBuf;
+use std::process::ExitCode;
 
 use clap::Parser;
 use limpetferry_net::keeper_node;
@@ -20,8 +21,8 @@
     check: bool,
 }
 
-fn main() -> eyre::Result<()> {
-    let signals = CaughtSignals::catch()?;
+fn main() -> ExitCode {
+    let signals = CaughtSignals::catch();
     let args = Args::parse();
     start_live(signals, &args.settings, args.check, keeper_node::run)
 }
--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -42,6 +42,7 @@
 use crate::peer::Hello;
 use crate::registration::register;
 use crate::settings::EntrySettings;
+use crate::start::identify;
 use crate::store::HttpStore;
 use crate::store::Item;
 use crate::store::Store;
@@ -225,7 +226,7 @@
     metrics.set_ready(true);
     crate::log::note(
         common.node.as_str(),
-        &LogEvent::new("started").with("boot", boot),
+        &identify(LogEvent::new("started").with("boot", boot)),
     );
 
     let task = Task::new(&handle, boot);
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -62,6 +62,7 @@
 use crate::reload::Live;
 use crate::replicas::Replicas;
 use crate::site::Site;
+use crate::start::identify;
 use crate::suspect_api;
 use crate::timeout::within;
 use crate::turns::Turns;
@@ -462,7 +463,7 @@
     });
     gateway.meters.admitted.set(100);
     let note = LogEvent::new("started").with("role", "gateway");
-    gateway.note(note.with("callers", settings.callers));
+    gateway.note(identify(note.with("callers", settings.callers)));
     note_memory(&gateway, &settings);
     let (close, closed) = async_channel::bounded::<()>(1);
     let callers = bind("callers", settings.callers)?;
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -65,6 +65,7 @@
 use crate::segments::Segments;
 use crate::site::Site;
 use crate::site_file;
+use crate::start::identify;
 use crate::timeout::within;
 
 /// Time between looks whether the list of keepers has changed. It goes to disk
@@ -543,14 +544,16 @@
     }
     log::note(
         &common.node,
-        &LogEvent::new("started")
-            .with("role", "keeper")
-            .with("records", found.records)
-            .with("torn_bytes", found.torn)
-            .with("disk_bytes", segments.bytes())
-            .with("index_bytes", ledger.disk().total().index)
-            .with("whole", whole)
-            .with("first", settings.first),
+        &identify(
+            LogEvent::new("started")
+                .with("role", "keeper")
+                .with("records", found.records)
+                .with("torn_bytes", found.torn)
+                .with("disk_bytes", segments.bytes())
+                .with("index_bytes", ledger.disk().total().index)
+                .with("whole", whole)
+                .with("first", settings.first),
+        ),
     );
     let state = SharedState::new(State {
         ledger,
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod http;
 pub mod identity;
 pub mod intake;
+pub mod json_position;
 pub mod keeper_list;
 pub mod keeper_node;
 mod keeper_reads;
--- a/net/src/log.rs
+++ b/net/src/log.rs
@@ -1,13 +1,18 @@
 //! Log lines: one of key=value pairs for each event, through log4rs.
 
+use std::io::Write as _;
+
 use eyre::WrapErr as _;
 use limpetferry_lib::effect::LogEvent;
 use log::LevelFilter;
+use log::Record;
 use log4rs::append::Append;
 use log4rs::append::file::FileAppender;
 use log4rs::config::Appender;
 use log4rs::config::Root;
+use log4rs::encode::Encode as _;
 use log4rs::encode::pattern::PatternEncoder;
+use log4rs::encode::writer::simple::SimpleWriter;
 
 use crate::log_queue::LogQueue;
 use crate::log_queue::QueueAppender;
@@ -69,6 +74,26 @@
     }
 }
 
+/// Writes an event that ends the process: to the log, or to standard error if the log has
+/// not been started. Waits a moment for it to be written.
+pub fn note_end(node: &str, note: &LogEvent) {
+    let text = line(node, note);
+    if log::max_level() >= log::Level::Error {
+        log::error!("{text}");
+        flush();
+        return;
+    }
+    let mut line = SimpleWriter(Vec::new());
+    let mut record = Record::builder();
+    record.level(log::Level::Error);
+    let encoded = PatternEncoder::new(PATTERN)
+        .encode(&mut line, &record.args(format_args!("{text}")).build());
+    if encoded.is_ok() {
+        // Without a reader there is nobody to tell.
+        let _ = std::io::stderr().write_all(&line.0);
+    }
+}
+
 /// Returns the pairs of an event as text. Values are quoted where they hold
 /// anything but plain characters, so that no caller can forge a pair or a
 /// line.
--- a/net/src/settings.rs
+++ b/net/src/settings.rs
@@ -7,6 +7,7 @@
 use std::path::PathBuf;
 
 use limpetferry_lib::document::Fault;
+use limpetferry_lib::effect::LogEvent;
 use limpetferry_lib::id::DataCentre;
 use limpetferry_lib::id::Digest;
 use limpetferry_lib::id::NodeId;
@@ -15,8 +16,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::Value;
+use serde_json::error::Category;
 use thiserror::Error;
 
+use crate::json_position::value_at;
+
+/// Exit code of a start whose settings are refused.
+pub const EXIT_REFUSED: u8 = 5;
 /// Fewest characters of a key.
 const MIN_KEY: usize = 16;
 /// Least wait for an owner that is only slow.
@@ -28,17 +35,93 @@
     /// The file cannot be read.
     #[error("cannot read {0}: {1}; name a readable file with --settings")]
     Unreadable(PathBuf, std::io::Error),
-    /// The file is no JSON of the expected form.
-    #[error("{0}: {1}; see docs/operators.md for the fields")]
-    Malformed(PathBuf, serde_json::Error),
-    /// Fields have wrong values.
-    #[error("{0}: {n} fault(s):\n{list}", n = .1.len(), list = lines(.1))]
-    Faulty(PathBuf, Vec<Fault>),
+    /// The file is no JSON of the expected form; the setting at fault, and its value.
+    #[error("{file}: {setting}: {error}; see docs/operators.md for the fields")]
+    Malformed {
+        /// The file.
+        file: PathBuf,
+        /// Name of the process; empty if it cannot be told.
+        node: String,
+        /// The setting at fault, with names separated by dots.
+        setting: String,
+        /// Its value.
+        value: String,
+        /// What is wrong.
+        error: serde_json::Error,
+    },
+    /// Settings have wrong values.
+    #[error("{file}: {n} fault(s):\n{list}", n = .faults.len(), list = lines(.faults))]
+    Faulty {
+        /// The file.
+        file: PathBuf,
+        /// Name of the process; empty if it cannot be told.
+        node: String,
+        /// The faults, each with the value at fault.
+        faults: Vec<(Fault, String)>,
+    },
+}
+
+impl SettingsError {
+    /// Returns the name of the process whose settings they are; it is empty if it cannot be
+    /// told.
+    pub fn node(&self) -> &str {
+        match self {
+            Self::Unreadable(..) => "",
+            Self::Malformed { node, .. } | Self::Faulty { node, .. } => node,
+        }
+    }
+
+    /// Returns an event for each fault: its setting, its value, why it is one, and what
+    /// to do about it.
+    pub fn notes(&self) -> Vec<LogEvent> {
+        let note = LogEvent::new("start_failed").with("code", EXIT_REFUSED);
+        match self {
+            Self::Unreadable(file, error) => vec![
+                note.with("setting", "--settings")
+                    .with("value", file.display())
+                    .with("why", error)
+                    .with("remedy", "name a readable file with --settings"),
+            ],
+            Self::Malformed {
+                file,
+                setting,
+                value,
+                error,
+                ..
+            } => vec![
+                note.with("file", file.display())
+                    .with("setting", setting)
+                    .with("value", value)
+                    .with("why", error)
+                    .with("remedy", "give what is expected; see docs/OPERATIONS.md"),
+            ],
+            Self::Faulty { file, faults, .. } => {
+                let notes = faults.iter().map(|(fault, value)| {
+                    note.clone()
+                        .with("file", file.display())
+                        .with("setting", &fault.path)
+                        .with("value", value)
+                        .with("why", "its value is out of range")
+                        .with("remedy", &fault.remedy)
+                });
+                notes.collect()
+            }
+        }
+    }
 }
 
-fn lines(faults: &[Fault]) -> String {
-    let lines: Vec<String> = faults.iter().map(|fault| format!("  {fault}")).collect();
-    lines.join("\n")
+fn lines(faults: &[(Fault, String)]) -> String {
+    let lines = faults.iter().map(|(fault, _)| format!("  {fault}"));
+    lines.collect::<Vec<_>>().join("\n")
+}
+
+/// Returns the value of a setting as a line shows it. Keys are never shown.
+fn shown(path: &str, value: &str) -> String {
+    if path.ends_with("key") || path.starts_with("operator_keys") {
+        "(not shown)".to_owned()
+    } else {
+        value.to_owned()
+    }
 }
 
 /// Where log lines go.
@@ -119,24 +202,24 @@
     }
 
     fn check(&self, faults: &mut Vec<Fault>) {
-        check_name("node", self.node.as_str(), faults);
-        check_name("centre", self.centre.as_str(), faults);
-        check_key("key", &self.key, faults);
+        check_name("common.node", self.node.as_str(), faults);
+        check_name("common.centre", self.centre.as_str(), faults);
+        check_key("common.key", &self.key, faults);
         if self.peers.ip().is_unspecified() {
             faults.push(Fault::new(
-                "peers",
+                "common.peers",
                 "give the IP address that other VMs reach, not 0.0.0.0",
             ));
         }
         if self.rules.shards == 0 {
             faults.push(Fault::new(
-                "rules.shards",
+                "common.rules.shards",
                 "give a number above zero, the same everywhere",
             ));
         }
         if self.rules.takeover_ms < MIN_TAKEOVER_MS {
             faults.push(Fault::new(
-                "rules.takeover_ms",
+                "common.rules.takeover_ms",
                 format!("give at least {MIN_TAKEOVER_MS}, or every hiccup moves shards"),
             ));
         }
@@ -290,13 +373,43 @@
 pub fn read<T: Check>(path: &Path) -> Result<T, SettingsError> {
     let text = fs::read_to_string(path)
         .map_err(|error| SettingsError::Unreadable(path.to_owned(), error))?;
-    let settings: T = serde_json::from_str(&text)
-        .map_err(|error| SettingsError::Malformed(path.to_owned(), error))?;
+    let settings: T = serde_json::from_str(&text).map_err(|error| malformed(path, &text, error))?;
     let mut faults = Vec::new();
     settings.check(&mut faults);
     if faults.is_empty() {
-        Ok(settings)
-    } else {
-        Err(SettingsError::Faulty(path.to_owned(), faults))
+        return Ok(settings);
+    }
+    let values: Value = serde_json::from_str(&text).unwrap_or_default();
+    let faults = faults.into_iter().map(|fault| {
+        let pointer = format!("/{}", fault.path.replace('.', "/"));
+        let value = match values.pointer(&pointer) {
+            Some(Value::String(text)) => text.clone(),
+            Some(value) => value.to_string(),
+            None => String::new(),
+        };
+        let value = shown(&fault.path, &value);
+        (fault, value)
+    });
+    Err(SettingsError::Faulty {
+        file: path.to_owned(),
+        node: settings.node().to_owned(),
+        faults: faults.collect(),
+    })
+}
+
+fn malformed(path: &Path, text: &str, error: serde_json::Error) -> SettingsError {
+    // A fault of the syntax is at the character that was not expected, others are behind
+    // the value.
+    let is_syntax = error.classify() == Category::Syntax;
+    let column = error.column() - usize::from(is_syntax && error.column() > 0);
+    let found = value_at(text, error.line(), column);
+    let values: Value = serde_json::from_str(text).unwrap_or_default();
+    let node = values.pointer("/common/node").and_then(Value::as_str);
+    SettingsError::Malformed {
+        file: path.to_owned(),
+        node: node.unwrap_or_default().to_owned(),
+        value: shown(&found.path, found.text),
+        setting: found.path,
+        error,
     }
 }
--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -45,6 +45,7 @@
 use crate::peer::Hello;
 use crate::registration::register;
 use crate::settings::SideSettings;
+use crate::start::identify;
 use crate::store::HttpStore;
 use crate::store::Store;
 
@@ -100,7 +101,7 @@
     metrics.set_ready(true);
     crate::log::note(
         node.id.as_str(),
-        &LogEvent::new("started").with("boot", boot),
+        &identify(LogEvent::new("started").with("boot", boot)),
     );
     task.run(links_in, stop).await;
     drop(end);
--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -1,80 +1,139 @@
 //! What the programs do first: read settings, start logging, wait for a signal.
 
 use std::future::Future;
+use std::io;
 use std::path::Path;
+use std::process;
+use std::process::ExitCode;
+use std::sync::OnceLock;
+use std::time::Instant;
 
 use async_channel::Receiver;
+use limpetferry_lib::effect::LogEvent;
 
 use crate::log;
 use crate::reload::Live;
 use crate::settings;
 use crate::settings::Check;
+use crate::settings::EXIT_REFUSED;
+use crate::settings::SettingsError;
 use crate::signals::CaughtSignals;
 
+/// Exit code of a check that found faults, and of a process that failed for another
+/// reason than its settings.
+const EXIT_FAILED: u8 = 1;
+
+/// When the process began to start.
+static BEGUN: OnceLock<Instant> = OnceLock::new();
+
+/// Adds to an event which build and which start of a process it is of, and how long the
+/// start took.
+pub fn identify(note: LogEvent) -> LogEvent {
+    let note = note.with("version", env!("CARGO_PKG_VERSION"));
+    let note = note.with("pid", process::id());
+    let begun = BEGUN.get();
+    note.with_some("start_ms", begun.map(|begun| begun.elapsed().as_millis()))
+}
+
 /// Does the same as [`start`] for a process that takes changed settings while
 /// it runs.
-///
-/// # Errors
-///
-/// Returns an error if the settings have faults, or that of the process.
 pub fn start_live<S, F>(
-    signals: CaughtSignals,
+    signals: io::Result<CaughtSignals>,
     file: &Path,
     check: bool,
     run: impl FnOnce(Live<S>, Receiver<()>) -> F,
-) -> eyre::Result<()>
+) -> ExitCode
 where
     S: Check + PartialEq + Send + Sync + 'static,
     F: Future<Output = eyre::Result<()>> + Send + 'static,
 {
-    let CaughtSignals { stop, reload } = signals;
-    run_with(stop, file, check, |settings: S, stop| {
+    start_with(signals, file, check, |settings: S, signals| {
         let node = settings.node().to_owned();
         let live = Live::new(file, settings);
-        let running = run(live.clone(), stop);
+        let running = run(live.clone(), signals.stop);
         async move {
-            smol::spawn(live.follow(node, reload)).detach();
+            smol::spawn(live.follow(node, signals.reload)).detach();
             running.await
         }
     })
 }
 
 /// Reads the settings in `file` and runs a process with them until a signal
-/// stops it; with `check`, only checks them.
-///
-/// # Errors
-///
-/// Returns an error if the settings have faults, or that of the process.
+/// stops it; with `check`, only checks them. Returns the exit code of the process, after
+/// a line that says why if it failed.
 pub fn start<S, F>(
-    signals: CaughtSignals,
+    signals: io::Result<CaughtSignals>,
     file: &Path,
     check: bool,
     run: impl FnOnce(S, Receiver<()>) -> F,
-) -> eyre::Result<()>
+) -> ExitCode
 where
     S: Check,
     F: Future<Output = eyre::Result<()>> + Send + 'static,
 {
-    run_with(signals.stop, file, check, run)
+    start_with(signals, file, check, |settings, signals| {
+        run(settings, signals.stop)
+    })
 }
 
-fn run_with<S, F>(
-    stop: Receiver<()>,
+fn start_with<S, F>(
+    signals: io::Result<CaughtSignals>,
     file: &Path,
     check: bool,
-    run: impl FnOnce(S, Receiver<()>) -> F,
-) -> eyre::Result<()>
+    run: impl FnOnce(S, CaughtSignals) -> F,
+) -> ExitCode
 where
     S: Check,
     F: Future<Output = eyre::Result<()>> + Send + 'static,
 {
-    let settings: S = settings::read(file)?;
-    if check {
-        println!("{}: no faults", file.display());
-        return Ok(());
+    BEGUN.get_or_init(Instant::now);
+    match settings::read::<S>(file) {
+        Ok(_) if check => {
+            println!("{}: no faults", file.display());
+            ExitCode::SUCCESS
+        }
+        Err(error) if check => {
+            eprintln!("{error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+        Ok(settings) => run_process(signals, settings, run),
+        Err(error) => refuse(&error),
     }
-    log::init(settings.log())?;
-    // Everything runs on the executor's one thread. Waiting for it without a
-    // reactor of its own keeps this thread from taking events away from it.
-    futures_lite::future::block_on(smol::spawn(run(settings, stop)))
+}
+
+fn run_process<S, F>(
+    signals: io::Result<CaughtSignals>,
+    settings: S,
+    run: impl FnOnce(S, CaughtSignals) -> F,
+) -> ExitCode
+where
+    S: Check,
+    F: Future<Output = eyre::Result<()>> + Send + 'static,
+{
+    let node = settings.node().to_owned();
+    if let Err(error) = log::init(settings.log()) {
+        return fail(&node, &error);
+    }
+    let ended = signals.map_err(eyre::Report::from).and_then(|signals| {
+        // Everything runs on the executor's one thread. Waiting for it without a
+        // reactor of its own keeps this thread from taking events away from it.
+        futures_lite::future::block_on(smol::spawn(run(settings, signals)))
+    });
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => fail(&node, &error),
+    }
+}
+
+fn refuse(error: &SettingsError) -> ExitCode {
+    for note in error.notes() {
+        log::note_end(error.node(), &note);
+    }
+    ExitCode::from(EXIT_REFUSED)
+}
+
+fn fail(node: &str, error: &eyre::Report) -> ExitCode {
+    let note = LogEvent::new("start_failed").with("code", EXIT_FAILED);
+    log::note_end(node, &note.with("why", format!("{error:#}")));
+    ExitCode::from(EXIT_FAILED)
 }
--- a/side/tests/check.rs
+++ b/side/tests/check.rs
@@ -1,5 +1,6 @@
 //! The process validates its settings with `--check`.
 
+use limpetferry_testutils::check::assert_failed_starts_say_why;
 use limpetferry_testutils::check::assert_faultless;
 use limpetferry_testutils::check::assert_faults;
 use limpetferry_testutils::check::assert_unknown_refused;
@@ -37,3 +38,9 @@
 fn unknown_fields_are_rejected() {
     assert_unknown_refused(BINARY, settings());
 }
+
+/// Guards against starts that end with a backtrace or with nothing that names a cause.
+#[test]
+fn failed_starts_say_why_in_one_line() {
+    assert_failed_starts_say_why(BINARY, &settings());
+}
--- a/testutils/src/check.rs
+++ b/testutils/src/check.rs
@@ -24,22 +24,63 @@
 ///
 /// Panics if the program cannot be started.
 pub fn check(program: &str, settings: &Value) -> Output {
+    run(Command::new(program).arg("--check"), settings)
+}
+
+/// Runs a program with settings that let it end by itself.
+fn run(command: &mut Command, settings: &Value) -> Output {
     let file = std::env::temp_dir().join(format!(
         "limpetferry-{}-{:x}.json",
         std::process::id(),
         rand::random::<u64>()
     ));
     std::fs::write(&file, settings.to_string()).expect("the temporary folder can be written");
-    let output = Command::new(program)
-        .arg("--check")
-        .arg("--settings")
-        .arg(&file)
-        .output();
+    let output = command.arg("--settings").arg(&file).output();
     // A temporary file that stays does no harm.
     let _ = std::fs::remove_file(&file);
     output.expect("the program starts")
 }
 
+/// Asserts that the start of `program` ends with the exit code `code` and a single
+/// line, which has each of `pairs`.
+///
+/// # Panics
+///
+/// Panics if it does not or cannot be started.
+pub fn assert_start_fails(program: &str, settings: &Value, code: i32, pairs: &[&str]) {
+    let output = run(&mut Command::new(program), settings);
+
+    let text = String::from_utf8_lossy(&output.stderr).into_owned();
+    assert_eq!(output.status.code(), Some(code), "{text}");
+    assert_eq!(text.lines().count(), 1, "{text}");
+    for pair in pairs {
+        assert!(text.contains(pair), "no {pair:?} in {text}");
+    }
+}
+
+/// Asserts that a start of `program` with a faulty setting, and one that cannot write
+/// its log, each end with a line that says why.
+///
+/// # Panics
+///
+/// Panics if they do not or it cannot be started.
+pub fn assert_failed_starts_say_why(program: &str, settings: &Value) {
+    let mut faulty = settings.clone();
+    faulty["common"]["peers"] = json!("nowhere");
+    let mut unlogged = settings.clone();
+    unlogged["common"]["log"] = json!({ "file": "/dev/null/limpetferry.log" });
+    let fault = [
+        "level=ERROR",
+        "event=start_failed code=5",
+        "setting=common.peers value=nowhere why=",
+        "remedy=",
+    ];
+
+    assert_start_fails(program, &faulty, 5, &fault);
+    let unwritable = ["event=start_failed code=1", "name another log.file"];
+    assert_start_fails(program, &unlogged, 1, &unwritable);
+}
+
 /// Asserts that `program` accepts `settings`.
 ///
 /// # Panics
