settings: each form of a number that the platform may render starts a process

Operators saw no process start (code 1 at each of them) where a bound of the platform was a fraction: `"stop_ms": {{Bounds.GraceS|json}}000` becomes 8.0000 for 8.0, and counts and megabytes were read as integers only. A field without a value (`LinkMbps`, `MemoryMb`, `Seeds`, `GraceS` where draining is not part of the contracts) made the file no JSON at all, and a link of 0 was refused.

Cause: the templates did arithmetic on text and put values where JSON has to have one, and the types at the border of the settings took one of the forms that the platform's pages allow.

Now `net/src/units.rs` reads counts, megabytes, durations, flags and addresses as integer, fraction or text, empty text and null being no value. Megabytes are rounded down; a fraction of a count, NaN, infinite, negative and too large numbers are faults that name setting and value (2^40 MB are the most, as their bytes fit 64 bits; before, `max_mb << 20` overflowed). `stop_s` stands beside `stop_ms`, which settings of earlier builds have; both are a fault, neither is 8 s, with a line `setting_missing`: a bound that is not told should not keep a site down. `capacity` is unknown, not a fault, when a number of it is missing or zero. `faults`, `store` and `folder` have no default and are refused by name.

--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -527,7 +527,7 @@
     gateway.note(LogEvent::new("stopping"));
     smol::Timer::after(LINGER).await;
     close.close();
-    let limit = Duration::from_millis(live.get().common.stop_ms).saturating_sub(STOP_SPARE);
+    let limit = live.get().common.stop_limit().saturating_sub(STOP_SPARE);
     let left = limit.saturating_sub(clock.now().since(begun));
     let ending = futures_lite::future::zip(serving, taking);
     let ended = within(left, ending).await.is_some();
--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -14,6 +14,7 @@
 use limpetferry_lib::switches::Switches;
 use limpetferry_lib::workspace::KeyDigester;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 
 use crate::settings::Check;
@@ -21,10 +22,13 @@
 use crate::settings::LogSettings;
 use crate::settings::check_key;
 use crate::settings::check_name;
+use crate::units;
 
 /// Memory that a gateway or a keeper uses at most if its settings do not say, in megabytes: what the
 /// target allows a node.
 pub const DEFAULT_MEMORY_MB: u64 = 128;
+/// Longest time of a planned stop if the settings do not say.
+const DEFAULT_STOP: Duration = Duration::from_secs(8);
 
 /// What a gateway and a keeper are both told.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -48,18 +52,33 @@
     pub store: SocketAddr,
     /// How long the platform's store may hold a call that watches it, in
     /// milliseconds.
-    #[serde(default = "default_watch")]
+    #[serde(default = "default_watch", deserialize_with = "units::milliseconds")]
     pub watch_ms: u64,
     /// Addresses of some keepers, which are asked while the platform's store
     /// is away.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "units::addresses")]
     pub seeds: Vec<SocketAddr>,
     /// How many keepers may be lost at once.
+    #[serde(deserialize_with = "units::count")]
     pub faults: usize,
-    /// Longest time that a planned stop may take, in milliseconds.
-    pub stop_ms: u64,
+    /// Longest time that a planned stop may take.
+    #[serde(
+        rename = "stop_s",
+        default,
+        deserialize_with = "units::optional_seconds",
+        serialize_with = "units::write_seconds",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub stop: Option<Duration>,
+    /// The same in milliseconds, in settings of earlier builds.
+    #[serde(
+        default,
+        deserialize_with = "units::optional_milliseconds",
+        skip_serializing_if = "Option::is_none"
+    )]
+    pub stop_ms: Option<u64>,
     /// Bounds on what all gateways together send of a workspace.
-    #[serde(default)]
+    #[serde(default, deserialize_with = "allowances")]
     pub allowances: AllowanceBounds,
     /// Where log lines go.
     #[serde(default)]
@@ -76,6 +95,12 @@
         Duration::from_millis(self.watch_ms)
     }
 
+    /// Returns the longest time that a planned stop may take.
+    pub fn stop_limit(&self) -> Duration {
+        let earlier = self.stop_ms.map(Duration::from_millis);
+        self.stop.or(earlier).unwrap_or(DEFAULT_STOP)
+    }
+
     /// Returns the address by which others reach it.
     pub fn reachable(&self) -> SocketAddr {
         self.advertised.unwrap_or(self.peers)
@@ -123,12 +148,54 @@
                 ),
             ));
         }
-        if self.stop_ms == 0 {
+        if self.stop_ms == Some(0) {
             faults.push(Fault::new("common.stop_ms", "give a number above zero"));
         }
+        if self.stop == Some(Duration::ZERO) {
+            faults.push(Fault::new("common.stop_s", "give a number above zero"));
+        }
+        if self.stop.is_some() && self.stop_ms.is_some() {
+            faults.push(Fault::new(
+                "common.stop_ms",
+                "leave it out, as stop_s says the same",
+            ));
+        }
+    }
+
+    fn missing(&self) -> Vec<(&'static str, String)> {
+        if self.stop.is_some() || self.stop_ms.is_some() {
+            return Vec::new();
+        }
+        vec![("common.stop_s", DEFAULT_STOP.as_secs().to_string())]
     }
 }
 
+/// Bounds on what gateways send, each of which may be missing.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct AllowanceSettings {
+    #[serde(deserialize_with = "units::optional_seconds")]
+    window_s: Option<Duration>,
+    #[serde(deserialize_with = "units::optional_number")]
+    overrun: Option<f64>,
+    #[serde(deserialize_with = "units::optional_number")]
+    slack: Option<f64>,
+    #[serde(deserialize_with = "units::optional_number")]
+    handed_out: Option<f64>,
+}
+
+fn allowances<'de, D: Deserializer<'de>>(input: D) -> Result<AllowanceBounds, D::Error> {
+    let given = AllowanceSettings::deserialize(input)?;
+    let default = AllowanceBounds::default();
+    let window = given.window_s.map(|window| window.as_secs_f64());
+    Ok(AllowanceBounds {
+        window_s: window.unwrap_or(default.window_s),
+        overrun: given.overrun.unwrap_or(default.overrun),
+        slack: given.slack.unwrap_or(default.slack),
+        handed_out: given.handed_out.unwrap_or(default.handed_out),
+    })
+}
+
 /// Settings of a gateway.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -141,21 +208,33 @@
     pub ready: SocketAddr,
     /// Memory that the VM gives the process, in megabytes. Settings of earlier builds do
     /// not have it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        default,
+        deserialize_with = "units::optional_megabytes",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub memory_mb: Option<u64>,
     /// Connections of callers at once, if they are to be fewer than the memory allows.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        default,
+        deserialize_with = "units::optional_count",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub connections: Option<usize>,
     /// Megabytes of requests' bodies that are held at once, if they are to be fewer than
     /// the memory allows.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        default,
+        deserialize_with = "units::optional_megabytes",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub bodies_mb: Option<usize>,
     /// Which decisions are made.
     #[serde(default)]
     pub switches: Switches,
     /// What the VM gives the process; without it, other gateways hand it no
-    /// requests.
-    #[serde(default)]
+    /// requests. It is not known either if one of its numbers is missing or zero.
+    #[serde(default, deserialize_with = "capacity")]
     pub capacity: Option<Capacity>,
 }
 
@@ -176,6 +255,25 @@
     }
 }
 
+/// What a VM gives a process, each number of which may be missing.
+#[derive(Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+struct CapacitySettings {
+    #[serde(deserialize_with = "units::optional_number")]
+    link_mbps: Option<f64>,
+    #[serde(deserialize_with = "units::optional_number")]
+    cpu_share: Option<f64>,
+}
+
+fn capacity<'de, D: Deserializer<'de>>(input: D) -> Result<Option<Capacity>, D::Error> {
+    let given = Option::<CapacitySettings>::deserialize(input)?.unwrap_or_default();
+    let capacity = Capacity {
+        link_mbps: given.link_mbps.unwrap_or(0.0),
+        cpu_share: given.cpu_share.unwrap_or(0.0),
+    };
+    Ok(Some(capacity).filter(Capacity::is_sound))
+}
+
 impl GatewaySettings {
     /// Returns the memory that the process may use, in bytes.
     pub fn memory_bytes(&self) -> u64 {
@@ -222,6 +320,14 @@
     fn node(&self) -> &str {
         &self.common.node
     }
+
+    fn missing(&self) -> Vec<(&'static str, String)> {
+        let mut missing = self.common.missing();
+        if self.capacity.is_none() {
+            missing.push(("capacity", "unknown".to_owned()));
+        }
+        missing
+    }
 }
 
 /// Settings of a keeper.
@@ -234,9 +340,14 @@
     pub data: DataSettings,
     /// Memory that the VM gives the process, in megabytes. Settings of earlier builds do
     /// not have it.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[serde(
+        default,
+        deserialize_with = "units::optional_megabytes",
+        skip_serializing_if = "Option::is_none"
+    )]
     pub memory_mb: Option<u64>,
     /// Whether the whole system starts for the first time, with empty disks.
+    #[serde(deserialize_with = "units::flag")]
     pub first: bool,
 }
 
@@ -266,4 +377,8 @@
     fn node(&self) -> &str {
         &self.common.node
     }
+
+    fn missing(&self) -> Vec<(&'static str, String)> {
+        self.common.missing()
+    }
 }
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -76,4 +76,5 @@
 pub mod timeout;
 mod turn_end;
 pub mod turns;
+pub mod units;
 pub mod vms;
--- a/net/src/settings.rs
+++ b/net/src/settings.rs
@@ -14,6 +14,7 @@
 use limpetferry_lib::id::Operator;
 use limpetferry_lib::rules::Rules;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -21,6 +22,7 @@
 use thiserror::Error;
 
 use crate::json_position::value_at;
+use crate::units;
 
 /// Exit code of a start whose settings are refused.
 pub const EXIT_REFUSED: u8 = 5;
@@ -181,7 +183,7 @@
     #[serde(default)]
     pub vms: Option<SocketAddr>,
     /// Longest time that a planned stop may take, in milliseconds.
-    #[serde(default = "default_stop")]
+    #[serde(default = "default_stop", deserialize_with = "units::milliseconds")]
     pub stop_ms: u64,
     /// Where log lines go.
     #[serde(default)]
@@ -250,7 +252,11 @@
     /// The folder; it exists.
     pub folder: PathBuf,
     /// Most megabytes that the process stores there.
-    #[serde(rename = "max_mb", default = "default_data")]
+    #[serde(
+        rename = "max_mb",
+        default = "default_data",
+        deserialize_with = "data_megabytes"
+    )]
     pub most: u64,
 }
 
@@ -258,6 +264,10 @@
     1_024
 }
 
+fn data_megabytes<'de, D: Deserializer<'de>>(input: D) -> Result<u64, D::Error> {
+    Ok(units::optional_megabytes(input)?.unwrap_or_else(default_data))
+}
+
 impl DataSettings {
     pub(crate) fn check(&self, faults: &mut Vec<Fault>) {
         if !self.folder.is_dir() {
@@ -295,6 +305,11 @@
 
     /// Returns the name of the process.
     fn node(&self) -> &str;
+
+    /// Returns the settings that the platform gave no value, with what is assumed.
+    fn missing(&self) -> Vec<(&'static str, String)> {
+        Vec::new()
+    }
 }
 
 impl Check for EntrySettings {
--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -114,6 +114,10 @@
     if let Err(error) = log::init(settings.log()) {
         return fail(&node, &error);
     }
+    for (setting, assumed) in settings.missing() {
+        let note = LogEvent::new("setting_missing").with("setting", setting);
+        log::note(&node, &note.with("assumed", assumed));
+    }
     let ended = signals.map_err(eyre::Report::from).and_then(|signals| {
         // Everything runs on the executor's one thread. Waiting for it without a
         // reactor of its own keeps this thread from taking events away from it.
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -20,5 +20,6 @@
 mod soak_fatal;
 pub mod store;
 pub mod supervisor;
+pub mod template;
 pub mod vms;
 pub mod wire;
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -345,7 +345,8 @@
                 .map(|keeper| keeper.common.reachable())
                 .collect(),
             faults,
-            stop_ms: 6_000,
+            stop: Some(Duration::from_secs(6)),
+            stop_ms: None,
             allowances: AllowanceBounds::default(),
             log: LogSettings::default(),
         }
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -91,13 +91,34 @@
     ///
     /// Panics if the program was not built.
     pub fn spawn_file(name: &str, file: &Path, log: &Path) -> Self {
+        let mut command = Command::new(program_path(name));
+        Self::spawn_command(command.arg("--settings").arg(file), log)
+    }
+
+    /// Does the same as [`Process::spawn_file`] for a process that may have at most
+    /// `descriptors` files open.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program was not built.
+    pub fn spawn_limited(name: &str, file: &Path, log: &Path, descriptors: u32) -> Self {
+        let mut command = Command::new("sh");
+        command
+            .arg("-c")
+            .arg(format!("ulimit -n {descriptors} && exec \"$@\""))
+            .arg("sh")
+            .arg(program_path(name))
+            .arg("--settings")
+            .arg(file);
+        Self::spawn_command(&mut command, log)
+    }
+
+    fn spawn_command(command: &mut Command, log: &Path) -> Self {
         let log = std::fs::File::create(log);
         let output = log.as_ref().ok().and_then(|log| log.try_clone().ok());
         let output = output.map_or_else(Stdio::null, Stdio::from);
         let _ports = lock_ports();
-        let child = Command::new(program_path(name))
-            .arg("--settings")
-            .arg(file)
+        let child = command
             .stdin(Stdio::null())
             .stdout(output)
             .stderr(log.map_or_else(|_| Stdio::null(), Stdio::from))
