data folder: made at the start if it is not there

Operators saw all keepers end with code 1 ("name a folder that exists") where the platform gives a `DataDir` that nobody has made yet.

Cause: the check of the settings asked for a folder, and nothing made it.

It logs `folder_created`, as a folder that had to be made is also what a disk that is not mounted looks like. Entries there that are no records are left alone, as before. A file in its place or above it, and a folder that cannot be made, are refused with code 5, `setting=data.folder`, value and remedy; `--check` finds the first two and makes nothing. Side processes do the same.

--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -378,6 +378,10 @@
         &self.common.node
     }
 
+    fn data(&self) -> Option<&DataSettings> {
+        Some(&self.data)
+    }
+
     fn missing(&self) -> Vec<(&'static str, String)> {
         self.common.missing()
     }
--- a/net/src/settings.rs
+++ b/net/src/settings.rs
@@ -21,6 +21,7 @@
 use serde_json::error::Category;
 use thiserror::Error;
 
+use crate::data_folder;
 use crate::json_position::value_at;
 use crate::units;
 
@@ -249,7 +250,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DataSettings {
-    /// The folder; it exists.
+    /// The folder; it is made at the start if it is not there.
     pub folder: PathBuf,
     /// Most megabytes that the process stores there.
     #[serde(
@@ -270,10 +271,10 @@
 
 impl DataSettings {
     pub(crate) fn check(&self, faults: &mut Vec<Fault>) {
-        if !self.folder.is_dir() {
+        if !data_folder::is_possible(&self.folder) {
             faults.push(Fault::new(
                 "data.folder",
-                "name a folder that exists, or leave data out on a VM without a disk",
+                "name a folder on the VM's disk; it is made if it is not there",
             ));
         }
         if self.most == 0 {
@@ -306,6 +307,11 @@
     /// Returns the name of the process.
     fn node(&self) -> &str;
 
+    /// Returns where it stores data, if it does.
+    fn data(&self) -> Option<&DataSettings> {
+        None
+    }
+
     /// Returns the settings that the platform gave no value, with what is assumed.
     fn missing(&self) -> Vec<(&'static str, String)> {
         Vec::new()
@@ -359,6 +365,10 @@
     fn node(&self) -> &str {
         self.common.node.as_str()
     }
+
+    fn data(&self) -> Option<&DataSettings> {
+        self.data.as_ref()
+    }
 }
 
 pub(crate) fn check_key(path: &str, key: &str, faults: &mut Vec<Fault>) {
--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -9,12 +9,15 @@
 use std::time::Instant;
 
 use async_channel::Receiver;
+use limpetferry_lib::document::Fault;
 use limpetferry_lib::effect::LogEvent;
 
+use crate::data_folder;
 use crate::log;
 use crate::reload::Live;
 use crate::settings;
 use crate::settings::Check;
+use crate::settings::DataSettings;
 use crate::settings::EXIT_REFUSED;
 use crate::settings::SettingsError;
 use crate::signals::CaughtSignals;
@@ -96,13 +99,14 @@
             eprintln!("{error}");
             ExitCode::from(EXIT_FAILED)
         }
-        Ok(settings) => run_process(signals, settings, run),
+        Ok(settings) => run_process(signals, file, settings, run),
         Err(error) => refuse(&error),
     }
 }
 
 fn run_process<S, F>(
     signals: io::Result<CaughtSignals>,
+    file: &Path,
     settings: S,
     run: impl FnOnce(S, CaughtSignals) -> F,
 ) -> ExitCode
@@ -114,6 +118,16 @@
     if let Err(error) = log::init(settings.log()) {
         return fail(&node, &error);
     }
+    if let Some(data) = settings.data()
+        && let Err(fault) = make_folder(&node, data)
+    {
+        let value = data.folder.display().to_string();
+        return refuse(&SettingsError::Faulty {
+            file: file.to_owned(),
+            node,
+            faults: vec![(fault, value)],
+        });
+    }
     for (setting, assumed) in settings.missing() {
         let note = LogEvent::new("setting_missing").with("setting", setting);
         log::note(&node, &note.with("assumed", assumed));
@@ -129,6 +143,22 @@
     }
 }
 
+/// Makes the folder for data if it is not there.
+fn make_folder(node: &str, data: &DataSettings) -> Result<(), Fault> {
+    match data_folder::create(&data.folder) {
+        Ok(false) => Ok(()),
+        Ok(true) => {
+            let note = LogEvent::new("folder_created").with("folder", data.folder.display());
+            log::note(node, &note);
+            Ok(())
+        }
+        Err(error) => Err(Fault::new(
+            "data.folder",
+            format!("cannot be made: {error}; name a folder on the VM's disk"),
+        )),
+    }
+}
+
 fn refuse(error: &SettingsError) -> ExitCode {
     for note in error.notes() {
         log::note_end(error.node(), &note);
--- a/net/tests/start_settings.rs
+++ b/net/tests/start_settings.rs
@@ -5,6 +5,7 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
+use std::path::Path;
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -401,6 +402,25 @@
     });
 }
 
+/// Guards against keepers that end because their data folder is not there yet.
+#[test]
+fn a_missing_data_folder_is_created() {
+    smol::block_on(async {
+        let mut machine = Machine::new(Role::Keeper);
+        let folder = machine.folder.join("not/there/yet");
+        machine.set("/DataDir", &json!(folder));
+
+        machine.assert_starts("missing folder").await;
+
+        assert!(folder.join("whole").is_file());
+        assert!(
+            machine.log().contains("event=folder_created"),
+            "{}",
+            machine.log()
+        );
+    });
+}
+
 #[test]
 fn an_unknown_folder_on_the_disk_is_left_alone() {
     smol::block_on(async {
@@ -414,6 +434,27 @@
     });
 }
 
+/// Guards against ends that say nothing about a data folder that cannot be used.
+#[test]
+fn a_data_folder_that_cannot_be_used_is_named() {
+    smol::block_on(async {
+        let mut machine = Machine::new(Role::Keeper);
+        let file = machine.folder.join("file");
+        std::fs::write(&file, "").expect("the temporary folder can be written");
+        for folder in [
+            &file,
+            &file.join("below"),
+            Path::new("/proc/limpetferry/data"),
+        ] {
+            machine.set("/DataDir", &json!(folder));
+
+            let value = format!("value={} ", folder.display());
+            let pairs = ["setting=data.folder ", &value, "remedy="];
+            machine.assert_fails(5, &pairs).await;
+        }
+    });
+}
+
 /// Guards against ends after the start of the log that leave no line in it.
 #[test]
 fn a_start_that_fails_later_says_why() {
