--- a/net/src/settings.rs
+++ b/net/src/settings.rs
@@ -14,13 +14,16 @@
 use limpetferry_lib::id::Operator;
 use limpetferry_lib::rules::Rules;
 use serde::Deserialize;
+use serde::Deserializer;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 use serde_json::error::Category;
 use thiserror::Error;
 
+use crate::data_folder;
 use crate::json_position::value_at;
+use crate::units;
 
 /// Exit code of a start whose settings are refused.
 pub const EXIT_REFUSED: u8 = 5;
@@ -181,7 +184,7 @@
     #[serde(default)]
     pub vms: Option<SocketAddr>,
     /// Longest time that a planned stop may take, in milliseconds.
-    #[serde(default = "default_stop")]
+    #[serde(default = "default_stop", deserialize_with = "units::milliseconds")]
     pub stop_ms: u64,
     /// Where log lines go.
     #[serde(default)]
@@ -247,10 +250,14 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct DataSettings {
-    /// The folder; it exists.
+    /// The folder; it is made at the start if it is not there.
     pub folder: PathBuf,
     /// Most megabytes that the process stores there.
-    #[serde(rename = "max_mb", default = "default_data")]
+    #[serde(
+        rename = "max_mb",
+        default = "default_data",
+        deserialize_with = "data_megabytes"
+    )]
     pub most: u64,
 }
 
@@ -258,12 +265,16 @@
     1_024
 }
 
+fn data_megabytes<'de, D: Deserializer<'de>>(input: D) -> Result<u64, D::Error> {
+    Ok(units::optional_megabytes(input)?.unwrap_or_else(default_data))
+}
+
 impl DataSettings {
     pub(crate) fn check(&self, faults: &mut Vec<Fault>) {
-        if !self.folder.is_dir() {
+        if !data_folder::is_possible(&self.folder) {
             faults.push(Fault::new(
                 "data.folder",
-                "name a folder that exists, or leave data out on a VM without a disk",
+                "name a folder on the VM's disk; it is made if it is not there",
             ));
         }
         if self.most == 0 {
@@ -295,6 +306,16 @@
 
     /// Returns the name of the process.
     fn node(&self) -> &str;
+
+    /// Returns where it stores data, if it does.
+    fn data(&self) -> Option<&DataSettings> {
+        None
+    }
+
+    /// Returns the settings that the platform gave no value, with what is assumed.
+    fn missing(&self) -> Vec<(&'static str, String)> {
+        Vec::new()
+    }
 }
 
 impl Check for EntrySettings {
@@ -344,6 +365,10 @@
     fn node(&self) -> &str {
         self.common.node.as_str()
     }
+
+    fn data(&self) -> Option<&DataSettings> {
+        self.data.as_ref()
+    }
 }
 
 pub(crate) fn check_key(path: &str, key: &str, faults: &mut Vec<Fault>) {
