tests: the position of a missing value, a file for the data folder, and which start

Breaking each part of the settings' border showed three that no test noticed: the character before which a value is missing (`"store": ,`), a file in place of the data folder as `--check` finds it, and the pairs of `started`. Each has a test now that fails when the part is broken, and passes as it stands.

--- a/net/tests/settings.rs
+++ b/net/tests/settings.rs
@@ -211,3 +211,27 @@
         "{line}"
     );
 }
+
+/// Guards against faults that are only positions, where a template leaves no value.
+#[test]
+fn a_place_without_a_value_is_named() {
+    let text = example("platform/gateway.json").to_string();
+    let store = text.find("\"store\":").expect("the example has it") + "\"store\":".len();
+    let end = text[store..].find(',').expect("others follow") + store;
+
+    let without = format!("{}{}", &text[..store], &text[end..]);
+
+    let line = line(read_text::<GatewaySettings>(&without));
+    assert!(line.contains("(\"setting\", \"common.store\")"), "{line}");
+}
+
+#[test]
+fn a_file_in_place_of_the_data_folder_is_a_fault() {
+    let file = std::env::current_exe().expect("a test has a path");
+    for folder in [file.clone(), file.join("below"), "".into()] {
+        let line = line(keeper("/data/folder", json!(folder)));
+        assert!(line.contains("data.folder"), "{line}");
+    }
+    let missing = std::env::temp_dir().join("limpetferry-not-there/nor/this");
+    assert!(keeper("/data/folder", json!(missing)).is_ok());
+}
--- a/net/tests/start_settings.rs
+++ b/net/tests/start_settings.rs
@@ -163,7 +163,11 @@
         let stopped = within(CONDITION_TIMEOUT, process.stop()).await;
         assert_eq!(stopped, Some(true), "{form}: {}", self.log());
         let log = self.log();
-        assert!(log.contains("event=started"), "{form}: {log}");
+        let started = log.lines().find(|line| line.contains("event=started"));
+        let started = started.unwrap_or_else(|| panic!("{form}: not started: {log}"));
+        for key in ["version=", "pid=", "start_ms="] {
+            assert!(started.contains(key), "no {key} in {started}");
+        }
     }
 
     /// Starts the process, and asserts that it ends with the exit code `code` and a
