addresses: a process waits for an address that is in use

Operators saw a process end at once with code 1 ("Address already in use") when it was started while its predecessor still ended, while an outgoing connection of another program had its port, or within the minute for which the system keeps what is left of one. A supervisor that starts it again at once spends its tries on that.

Cause: one try at each address, one after the other, before anything else; any error ended the process.

Now each address is tried again with a pause of 10 to 250 ms, for 90 s: chosen as longer than the system's 60 s and than planned stops (`stop_ms`, 8 s on the platform). One line says so (`event=address_in_use`), one that it is bound (`event=address_bound waited_ms=`), and `limpetferry_address_waiting{setting}` is 1 meanwhile. `ready` and the metrics do not wait for the others, and answer 503 until the gateway is in touch. SIGTERM ends the wait with code 0. `ListenError` carries the code: 6 after 90 s, 5 for an address that the machine refuses, which is not tried again; both write `event=start_failed` with the setting. A process that can do its work without an address (metrics; a gateway's address for handed-over requests) is not ended by it.

A gateway links to keepers only once it has its callers' address, so that a successor that waits is not taken for its predecessor. Keepers and side processes bind before they read their folder. In the order of before, a keeper that waited would have served what was on disk when it began to wait: turns that its predecessor acknowledged later were unknown.

--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -12,6 +12,7 @@
 use async_channel::Receiver;
 use async_channel::Sender;
 use eyre::WrapErr as _;
+use futures_lite::future;
 use limpetferry_lib::document::Documents;
 use limpetferry_lib::effect::CallerKey;
 use limpetferry_lib::effect::Effect;
@@ -27,6 +28,8 @@
 use limpetferry_lib::message::Request;
 use limpetferry_lib::shard_map::Block;
 
+use crate::addresses::Listeners;
+use crate::addresses::Need;
 use crate::clock::Clock;
 use crate::http::Bounds;
 use crate::http::FLUSH_WAIT;
@@ -37,7 +40,6 @@
 use crate::links::LinkTable;
 use crate::links::Links;
 use crate::links::PeerEvent;
-use crate::links::bind;
 use crate::metrics::Metrics;
 use crate::peer::Hello;
 use crate::registration::register;
@@ -177,10 +179,6 @@
 pub async fn run(settings: EntrySettings, stop: Receiver<()>) -> eyre::Result<()> {
     let common = settings.common.clone();
     let metrics = Metrics::new().wrap_err("cannot make the metrics")?;
-    let peers = bind("common.peers", common.peers)?;
-    let callers = bind("callers", settings.callers)?;
-    let operators = bind("operators", settings.operators)?;
-    let health = bind("common.metrics", common.metrics)?;
     let listening = Bounds {
         connections: settings.limits.connections,
         head: settings.limits.head,
@@ -188,8 +186,25 @@
         flush: FLUSH_WAIT,
     };
     let (end, ended) = async_channel::bounded::<()>(1);
-    smol::spawn(serve(health, listening, metrics.handler(), ended.clone())).detach();
-
+    let node = common.node.as_str();
+    let listeners = Listeners::new(node, Clock::default(), metrics.registry())?;
+    let (handler, closed) = (metrics.handler(), ended.clone());
+    let health = move |listener| serve(listener, listening, handler, closed);
+    let (setting, need) = ("common.metrics", Need::Optional);
+    listeners
+        .spawn(setting, common.metrics, need, ended.clone(), health)
+        .detach();
+    let bound = future::try_zip(
+        listeners.bind("common.peers", common.peers, Need::Required),
+        future::try_zip(
+            listeners.bind("callers", settings.callers, Need::Required),
+            listeners.bind("operators", settings.operators, Need::Required),
+        ),
+    );
+    let Some((peers, (callers, operators))) = listeners.until_stop(&stop, bound).await? else {
+        crate::log::note(node, &LogEvent::new("stopped"));
+        return Ok(());
+    };
     let store: Arc<dyn Store> = Arc::new(HttpStore::new(&common.store.to_string()));
     let node = Node {
         id: common.node.clone(),
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use futures_lite::future;
 use hyper::Response;
 use hyper::StatusCode;
 use limpetferry_lib::call::Program;
@@ -28,6 +29,8 @@
 use limpetferry_lib::start_doubts::StartDoubts;
 use limpetferry_lib::time::Time;
 
+use crate::addresses::Listeners;
+use crate::addresses::Need;
 use crate::allowances::Allowances;
 use crate::clock::Clock;
 use crate::dispatch::Dispatch;
@@ -44,7 +47,6 @@
 use crate::http::FLUSH_WAIT;
 use crate::http::Handler;
 use crate::http::whole;
-use crate::links::bind;
 use crate::load_reporter::LoadReporter;
 use crate::load_reporter::settled_state;
 use crate::load_reports::LoadReports;
@@ -410,13 +412,10 @@
         faults: common.faults,
         clock,
     };
-    smol::spawn(follower.follow()).detach();
     let turns = Turns::new(site.clone(), replicas.clone(), common.faults, clock);
     let meters = GatewayMeters::new()?;
     let probes = meters.probes.clone();
     let quarantine = Quarantine::new(&common.node, clock, turns.clone(), probes);
-    smol::spawn(quarantine.clone().follow(end_notices)).detach();
-    smol::spawn(quarantine.clone().record_late()).detach();
     let allowances = Allowances::new(
         common.allowances,
         settings.switches.programs,
@@ -425,7 +424,6 @@
         common.faults,
         clock,
     );
-    smol::spawn(allowances.clone().follow()).detach();
     let loads = LoadReports::new();
     let gateway = Arc::new(Gateway {
         node: common.node.clone(),
@@ -460,8 +458,19 @@
     let note = LogEvent::new("started").with("role", "gateway");
     gateway.note(note.with("callers", settings.callers));
     let (close, closed) = async_channel::bounded::<()>(1);
-    let callers = bind("callers", settings.callers)?;
-    let ready = bind("ready", settings.ready)?;
+    let listeners = Listeners::new(&common.node, clock, &gateway.meters.registry)?;
+    serve_operators(&gateway, &settings, &listeners, &closed);
+    // Nobody hears of this process while its predecessor has the address.
+    let callers = listeners.bind("callers", settings.callers, Need::Required);
+    let Some(callers) = listeners.until_stop(&stop, callers).await? else {
+        gateway.note(LogEvent::new("stopped").with("waiting_for", settings.callers));
+        log::flush();
+        return Ok(());
+    };
+    smol::spawn(follower.follow()).detach();
+    smol::spawn(quarantine.clone().follow(end_notices)).detach();
+    smol::spawn(quarantine.clone().record_late()).detach();
+    smol::spawn(gateway.allowances.clone().follow()).detach();
     let store = PlatformStore::new(common.store);
     smol::spawn(site.clone().follow(store, common.watch_hold())).detach();
     smol::spawn(site.clone().expire()).detach();
@@ -480,11 +489,6 @@
     if settings.switches.overload {
         smol::spawn(overload_watch::watch(gateway.clone())).detach();
     }
-    let metrics = bind("common.metrics", common.metrics)?;
-    let shown = gateway.clone();
-    let shown = metrics::handler(&gateway.meters.registry, move || shown.is_ready());
-    let shown = suspect_api::handler(quarantine.clone(), common.key_digest(), shown);
-    smol::spawn(http::serve(metrics, Bounds::SMALL, shown, closed.clone())).detach();
     smol::spawn(async move {
         while changes.recv().await.is_ok() {
             replicas.dial(&site.known().keepers.clone());
@@ -499,22 +503,10 @@
         wait: limits.idle_timeout,
         flush: FLUSH_WAIT,
     };
-    let serving = smol::spawn(http::serve(
-        callers,
-        bounds,
-        handler(&gateway),
-        closed.clone(),
-    ));
-    smol::spawn(http::serve(
-        ready,
-        Bounds::SMALL,
-        ready_handler(&gateway),
-        closed,
-    ))
-    .detach();
+    let serving = smol::spawn(http::serve(callers, bounds, handler(&gateway), closed));
     let (leave, left) = async_channel::bounded::<()>(1);
-    let taking = take_over(&gateway, &settings, left)?;
-    let _ = stop.recv().await;
+    let taking = take_over(&gateway, &settings, &listeners, left);
+    let failed = listeners.until_stop::<()>(&stop, future::pending()).await;
     let begun = clock.now();
     gateway.stopping.store(true, Ordering::Relaxed);
     leave.close();
@@ -523,7 +515,7 @@
     close.close();
     let limit = Duration::from_millis(live.get().common.stop_ms).saturating_sub(STOP_SPARE);
     let left = limit.saturating_sub(clock.now().since(begun));
-    let ending = futures_lite::future::zip(serving, taking);
+    let ending = future::zip(serving, taking);
     let ended = within(left, ending).await.is_some();
     gateway.quarantine.flush().await;
     gateway.note(
@@ -532,6 +524,7 @@
             .with("millis", clock.now().since(begun).as_millis()),
     );
     log::flush();
+    failed?;
     Ok(())
 }
 
@@ -543,21 +536,43 @@
     })
 }
 
+/// Answers the platform's question whether the process is ready, and shows its metrics,
+/// each as soon as its address is bound, until `stop` is closed.
+fn serve_operators(
+    gateway: &Arc<Gateway>,
+    settings: &GatewaySettings,
+    listeners: &Arc<Listeners>,
+    stop: &Receiver<()>,
+) {
+    let common = &settings.common;
+    let (handler, closed) = (ready_handler(gateway), stop.clone());
+    let serve_ready = |listener| http::serve(listener, Bounds::SMALL, handler, closed);
+    let ready = settings.ready;
+    listeners
+        .spawn("ready", ready, Need::Required, stop.clone(), serve_ready)
+        .detach();
+    let shown = gateway.clone();
+    let shown = metrics::handler(&gateway.meters.registry, move || shown.is_ready());
+    let shown = suspect_api::handler(gateway.quarantine.clone(), common.key_digest(), shown);
+    let closed = stop.clone();
+    let serve_metrics = |listener| http::serve(listener, Bounds::SMALL, shown, closed);
+    let (setting, need) = ("common.metrics", Need::Optional);
+    listeners
+        .spawn(setting, common.metrics, need, stop.clone(), serve_metrics)
+        .detach();
+}
+
 /// Takes requests from other gateways, where the settings ask for it, until
-/// `stop` says so.
-///
-/// # Errors
-///
-/// Returns an error if the address for them cannot be used.
+/// `stop` is closed.
 fn take_over(
     gateway: &Arc<Gateway>,
     settings: &GatewaySettings,
+    listeners: &Arc<Listeners>,
     stop: Receiver<()>,
-) -> eyre::Result<smol::Task<()>> {
+) -> smol::Task<()> {
     if gateway.handoffs.is_none() {
-        return Ok(smol::spawn(async {}));
+        return smol::spawn(async {});
     }
-    let listener = bind("common.peers", settings.common.peers)?;
     let key = settings.common.key_digest();
     let gateway = gateway.clone();
     let handler: HopHandler = Arc::new(move |request, hop| {
@@ -568,9 +583,10 @@
         gateway.meters.taken_over.inc();
         Some(Box::pin(relay::answer(gateway, request, Some(hop))))
     });
-    Ok(smol::spawn(handoff_server::serve(
-        listener, key, handler, stop,
-    )))
+    let stopped = stop.clone();
+    let serve = move |listener| handoff_server::serve(listener, key, handler, stopped);
+    let (setting, address) = ("common.peers", settings.common.peers);
+    listeners.spawn(setting, address, Need::Optional, stop, serve)
 }
 
 fn ready_handler(gateway: &Arc<Gateway>) -> Handler {
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -1,13 +1,16 @@
 //! A keeper: holds the turns of programs on its disk, and answers for them.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_channel::Receiver;
+use futures_lite::future;
 use limpetferry_lib::allowance::ProcessStart;
 use limpetferry_lib::allowance::UsageReport;
 use limpetferry_lib::allowance_counter::AllowanceCounter;
@@ -34,6 +37,8 @@
 use limpetferry_lib::time::Time;
 use smol::net::TcpListener;
 
+use crate::addresses::Listeners;
+use crate::addresses::Need;
 use crate::clock::Clock;
 use crate::disk::Disk;
 use crate::disk::Job;
@@ -50,7 +55,6 @@
 use crate::keeper_room::Room;
 use crate::keeper_state::SharedState;
 use crate::keeper_state::State;
-use crate::links::bind;
 use crate::log;
 use crate::meters::KeeperMeters;
 use crate::metrics;
@@ -531,6 +535,17 @@
     let most = settings.data.most << 20;
     let budget = KeeperBudget::new(settings.memory_bytes(), most);
     let clock = Clock::default();
+    let meters = KeeperMeters::new()?;
+    let listeners = Listeners::new(&common.node, clock, &meters.registry)?;
+    let (_close, closed) = async_channel::bounded(1);
+    let shown = show(&listeners, &meters, common.metrics, closed);
+    // The predecessor has the address until it has ended: from then on nobody else writes to
+    // the folder.
+    let listener = listeners.bind("common.peers", common.peers, Need::Required);
+    let Some(listener) = listeners.until_stop(&stop, listener).await? else {
+        note_stopped(&common.node);
+        return Ok(());
+    };
     let now = clock.now();
     let mut ledger = Ledger::default();
     let (mut segments, found) = Segments::open(folder, most, |stored, location| {
@@ -578,7 +593,7 @@
         clock,
         disk: Disk::start(&common.node, folder.clone(), segments, state.clone())?,
         reads: Reads::start(&common.node, folder.clone(), state.clone(), replies)?,
-        meters: KeeperMeters::new()?,
+        meters,
         room: Room::new(budget),
         state,
         cut_off: false.into(),
@@ -597,13 +612,8 @@
         Boot(rand::random()),
         common.key_digest(),
     );
-    let listener = bind("common.peers", common.peers)?;
     smol::spawn(keeper.clone().listen(listener, hello.clone())).detach();
-    let metrics = bind("common.metrics", common.metrics)?;
-    let (_close, closed) = async_channel::bounded(1);
-    let shown = keeper.clone();
-    let shown = metrics::handler(&keeper.meters.registry, move || shown.state().whole);
-    smol::spawn(http::serve(metrics, Bounds::SMALL, shown, closed)).detach();
+    let _ = shown.set(keeper.clone());
     smol::spawn(keeper.clone().keep_site()).detach();
     let store = PlatformStore::new(common.store);
     smol::spawn(site.follow(store, common.watch_hold())).detach();
@@ -621,11 +631,33 @@
     smol::spawn(removals.follow()).detach();
     let list = KeeperList::new(keeper.clone(), replicas, &settings);
     smol::spawn(list.follow()).detach();
-    let _ = stop.recv().await;
-    log::note(
-        &common.node,
-        &LogEvent::new("stopped").with("role", "keeper"),
-    );
-    log::flush();
+    listeners.until_stop::<()>(&stop, future::pending()).await?;
+    note_stopped(&common.node);
     Ok(())
 }
+
+/// Shows metrics, and the state of the keeper once it is there, as soon as the address for
+/// them is bound.
+fn show(
+    listeners: &Arc<Listeners>,
+    meters: &KeeperMeters,
+    address: SocketAddr,
+    closed: Receiver<()>,
+) -> Arc<OnceLock<Arc<Keeper>>> {
+    let shown = Arc::new(OnceLock::<Arc<Keeper>>::new());
+    let keeper = shown.clone();
+    let is_whole = move || keeper.get().is_some_and(|keeper| keeper.state().whole);
+    let handler = metrics::handler(&meters.registry, is_whole);
+    let stop = closed.clone();
+    let serve = |listener| http::serve(listener, Bounds::SMALL, handler, closed);
+    let (setting, need) = ("common.metrics", Need::Optional);
+    listeners
+        .spawn(setting, address, need, stop, serve)
+        .detach();
+    shown
+}
+
+fn note_stopped(node: &str) {
+    log::note(node, &LogEvent::new("stopped").with("role", "keeper"));
+    log::flush();
+}
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -1,6 +1,7 @@
 //! Sockets, files and signals around the decisions of `limpetferry-lib`:
 //! bytes become events, and effects become bytes. Nothing is decided here.
 
+pub mod addresses;
 pub mod allowances;
 pub mod answers;
 pub mod attempt;
--- a/net/src/links.rs
+++ b/net/src/links.rs
@@ -2,7 +2,6 @@
 //! the ones that dial, and replaces those that break.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
@@ -13,10 +12,6 @@
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::message::Message;
 use smol::net::TcpListener;
-use socket2::Domain;
-use socket2::Protocol;
-use socket2::Socket;
-use socket2::Type;
 
 use crate::peer;
 use crate::peer::Hello;
@@ -24,8 +19,6 @@
 
 /// First wait before a lost link is dialled again.
 const REDIAL_FIRST: Duration = Duration::from_millis(50);
-/// Connections that wait to be taken.
-const BACKLOG: i32 = 4_096;
 /// Longest wait before a lost link is dialled again.
 const REDIAL_MOST: Duration = Duration::from_secs(2);
 
@@ -271,27 +264,3 @@
         self.links.is_empty()
     }
 }
-
-/// Binds a listener.
-///
-/// # Errors
-///
-/// Returns an error that names the address.
-pub fn bind(what: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
-    listen(address).map_err(|error| {
-        eyre::eyre!("cannot listen on {address}: {error}; give {what} a free address")
-    })
-}
-
-/// Listens with a longer queue of connections than the standard library's: a
-/// burst that overflows it leaves callers with connections that look made
-/// and never answer.
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
-    let domain = Domain::for_address(address);
-    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_reuse_address(true)?;
-    socket.set_nonblocking(true)?;
-    socket.bind(&address.into())?;
-    socket.listen(BACKLOG)?;
-    TcpListener::try_from(std::net::TcpListener::from(socket))
-}
--- a/net/src/metrics.rs
+++ b/net/src/metrics.rs
@@ -95,6 +95,11 @@
         })
     }
 
+    /// Returns the registry of all of them.
+    pub fn registry(&self) -> &Registry {
+        &self.registry
+    }
+
     /// Says whether the process is ready to serve.
     pub fn set_ready(&self, ready: bool) {
         self.ready.store(ready, Ordering::Relaxed);
--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -22,6 +22,8 @@
 use limpetferry_lib::side::Event;
 use limpetferry_lib::side::Side;
 
+use crate::addresses::Listeners;
+use crate::addresses::Need;
 use crate::backend::Backend;
 use crate::clock::Clock;
 use crate::copies::CopyError;
@@ -40,7 +42,6 @@
 use crate::links::LinkTable;
 use crate::links::Links;
 use crate::links::PeerEvent;
-use crate::links::bind;
 use crate::metrics::Metrics;
 use crate::peer::Hello;
 use crate::registration::register;
@@ -75,11 +76,23 @@
 pub async fn run(settings: SideSettings, stop: Receiver<()>) -> eyre::Result<()> {
     let common = &settings.common;
     let metrics = Metrics::new().wrap_err("cannot make the metrics")?;
-    let (copies, found) = open_copies(&settings)?;
-    let peers = bind("common.peers", common.peers)?;
-    let health = bind("common.metrics", common.metrics)?;
     let (end, ended) = async_channel::bounded::<()>(1);
-    smol::spawn(serve(health, HEALTH, metrics.handler(), ended.clone())).detach();
+    let node = common.node.as_str();
+    let listeners = Listeners::new(node, Clock::default(), metrics.registry())?;
+    let (handler, closed) = (metrics.handler(), ended.clone());
+    let health = move |listener| serve(listener, HEALTH, handler, closed);
+    let (setting, need) = ("common.metrics", Need::Optional);
+    listeners
+        .spawn(setting, common.metrics, need, ended.clone(), health)
+        .detach();
+    // The predecessor has the address until it has ended: from then on nobody else writes to
+    // the folder.
+    let peers = listeners.bind("common.peers", common.peers, Need::Required);
+    let Some(peers) = listeners.until_stop(&stop, peers).await? else {
+        crate::log::note(node, &LogEvent::new("stopped"));
+        return Ok(());
+    };
+    let (copies, found) = open_copies(&settings)?;
     let store: Arc<dyn Store> = Arc::new(HttpStore::new(&common.store.to_string()));
     let node = Node {
         id: common.node.clone(),
--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -5,6 +5,7 @@
 
 use async_channel::Receiver;
 
+use crate::addresses::ListenError;
 use crate::log;
 use crate::reload::Live;
 use crate::settings;
@@ -76,5 +77,22 @@
     log::init(settings.log())?;
     // Everything runs on the executor's one thread. Waiting for it without a
     // reactor of its own keeps this thread from taking events away from it.
-    futures_lite::future::block_on(smol::spawn(run(settings, stop)))
+    let ended = futures_lite::future::block_on(smol::spawn(run(settings, stop)));
+    if let Some(error) = ended.as_ref().err().and_then(|e| e.downcast_ref()) {
+        end_unbound(error);
+    }
+    ended
+}
+
+/// Ends the process, as it cannot listen on an address.
+fn end_unbound(error: &ListenError) -> ! {
+    ::log::error!(
+        "event=start_failed setting={} value={} why={:?} remedy={:?}",
+        error.setting(),
+        error.address(),
+        error.to_string(),
+        error.remedy()
+    );
+    log::flush();
+    std::process::exit(error.exit_code().into())
 }
--- a/testutils/src/listen.rs
+++ b/testutils/src/listen.rs
@@ -5,12 +5,12 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 
+use limpetferry_net::addresses;
 use limpetferry_net::http::Bounds;
 use limpetferry_net::http::FLUSH_WAIT;
 use limpetferry_net::http::HEAD_WAIT;
 use limpetferry_net::http::Handler;
 use limpetferry_net::http::serve;
-use limpetferry_net::links::bind;
 
 /// Limits that no test reaches.
 const BOUNDS: Bounds = Bounds {
@@ -31,7 +31,7 @@
     address: SocketAddr,
     handler: Handler,
 ) -> (SocketAddr, async_channel::Sender<()>) {
-    let listener = bind("the fake server", address).expect("the address is free");
+    let listener = addresses::listen(address).expect("the address is free");
     let address = listener.local_addr().expect("a bound listener has one");
     let (stop, stop_requests) = async_channel::bounded(1);
     smol::spawn(serve(listener, BOUNDS, handler, stop_requests)).detach();
--- a/testutils/src/platform_site.rs
+++ b/testutils/src/platform_site.rs
@@ -418,6 +418,32 @@
         self.processes.insert(node, process);
     }
 
+    /// Starts a process a second time while the first one still runs, as a supervisor does
+    /// that does not wait for its end. Returns the first one.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the site does not have this process.
+    pub fn start_successor(&mut self, node: &str) -> Process {
+        let predecessor = self.take_process(node);
+        let log = self.folder.join(format!("{node}.log"));
+        let kept = self.folder.join(format!("{node}.predecessor.log"));
+        std::fs::rename(log, kept).expect("the process has a log");
+        let gateway = self.gateways.iter().position(|s| s.common.node == node);
+        let keeper = self.keepers.iter().position(|s| s.common.node == node);
+        match (gateway, keeper) {
+            (Some(number), _) => self.start_gateway(number),
+            (_, Some(number)) => self.start_keeper(number),
+            _ => unreachable!("all processes are gateways or keepers"),
+        }
+        predecessor
+    }
+
+    /// Returns the node names of all gateways and keepers.
+    pub fn nodes(&self) -> Vec<String> {
+        self.processes.keys().cloned().collect()
+    }
+
     /// Restarts a gateway with changed settings, and waits until all gateways are
     /// ready.
     ///
@@ -460,6 +486,15 @@
         &self.gateways[number]
     }
 
+    /// Changes the settings with which a gateway starts the next time.
+    pub fn change_gateway_settings(
+        &mut self,
+        number: usize,
+        change: impl FnOnce(&mut GatewaySettings),
+    ) {
+        change(&mut self.gateways[number]);
+    }
+
     /// Returns a process by its node name.
     ///
     /// # Panics
@@ -694,10 +729,39 @@
             .await;
     }
 
+    /// Waits until a process has logged a line that contains `text`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it ends before that, or no such line is logged in time.
+    pub async fn wait_for_log_or_end(&mut self, node: &str, text: &str) {
+        let wait = async {
+            while self.logged(node, text).is_none() {
+                assert!(
+                    !self.process(node).has_ended(),
+                    "{node} ended without a line {text}"
+                );
+                smol::Timer::after(POLL_INTERVAL).await;
+            }
+        };
+        within(CONDITION_TIMEOUT, wait)
+            .await
+            .expect("the condition holds in time");
+    }
+
+    /// Asks a gateway whether it is ready for callers.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`HttpError`] if no answer is received.
+    pub async fn ask_ready(&self, number: usize) -> Result<Answer, HttpError> {
+        let address = self.gateways[number].ready.to_string();
+        self.get(&address, "/api/readyz").await
+    }
+
     /// Returns whether a gateway reports that it is ready for callers.
     pub async fn is_ready(&self, number: usize) -> bool {
-        let address = self.gateways[number].ready.to_string();
-        let answer = self.get(&address, "/api/readyz").await;
+        let answer = self.ask_ready(number).await;
         answer.is_ok_and(|answer| answer.status == 200)
     }
 
@@ -1022,6 +1086,27 @@
             .expect("the condition holds in time");
     }
 
+    /// Waits until a gateway's metrics have this line.
+    ///
+    /// # Panics
+    ///
+    /// Panics if they do not in time.
+    pub async fn wait_for_metric_line(&self, gateway: usize, line: &str) {
+        let address = self.gateways[gateway].common.metrics.to_string();
+        let wait = async {
+            loop {
+                let answer = self.get(&address, "/metrics").await;
+                if answer.is_ok_and(|answer| answer.text().lines().any(|l| l == line)) {
+                    return;
+                }
+                smol::Timer::after(POLL_INTERVAL).await;
+            }
+        };
+        within(CONDITION_TIMEOUT, wait)
+            .await
+            .expect("the condition holds in time");
+    }
+
     /// Waits until a gateway uses this version of the routing document.
     pub async fn wait_for_routing(&self, gateway: usize, version: u64) {
         let metrics = self.gateways[gateway].common.metrics;
