sockets: outgoing connections leave their addresses to listeners

Operators saw a process end at its start because an outgoing connection had the port on which it listens: the system gives outgoing connections ports from a range in which the ports of a site may lie, while the connection is open and for 60 s after its end.

Cause: a listener may share an address with a connection only if both sockets allow it (SO_REUSEADDR); the listeners did, the connections did not.

`sockets::connect` sets it before it connects; HTTP (servers, store, pool), links, hand-overs and probes go through it. The option costs one system call for each new connection.

The same range lets a dial to a port where nobody listens connect to itself: the system then makes a connection whose two ends are one address. It counts as refused now, "connected to itself, as nobody listens there".

--- a/net/src/handoff_links.rs
+++ b/net/src/handoff_links.rs
@@ -24,7 +24,6 @@
 use limpetferry_lib::id::Digest;
 use limpetferry_lib::time::Time;
 use limpetferry_platform::header;
-use smol::net::TcpStream;
 use thiserror::Error;
 use tokio_util::compat::FuturesAsyncReadCompatExt as _;
 
@@ -161,7 +160,7 @@
 
     async fn dial(self: &Arc<Self>, address: SocketAddr) -> eyre::Result<(Link, Duration)> {
         let begun = Instant::now();
-        let connected = within(CONNECT_WAIT, TcpStream::connect(address)).await;
+        let connected = within(CONNECT_WAIT, sockets::connect(address)).await;
         let stream = connected.ok_or_else(|| eyre::eyre!("no connection in time"))??;
         let way = begun.elapsed();
         sockets::watch_silence(&stream)?;
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::future::Future;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -28,6 +29,7 @@
 
 use crate::flushed::FlushedStream;
 use crate::flushed::Flushes;
+use crate::sockets;
 use crate::sockets::HeadLimit;
 use crate::sockets::Stream;
 use crate::timeout::HttpTimer;
@@ -300,11 +302,12 @@
 /// Returns [`HttpError::Connect`] if the server takes no connection in time.
 pub async fn connect(address: &str) -> Result<Sender, HttpError> {
     let refuse = || HttpError::Connect(address.to_owned());
-    let stream = within(CONNECT_WAIT, TcpStream::connect(address))
+    let address: SocketAddr = address.parse().map_err(|_| refuse())?;
+    let stream = within(CONNECT_WAIT, sockets::connect(address))
         .await
         .ok_or_else(refuse)?
         .map_err(|_| refuse())?;
-    crate::sockets::watch_silence(&stream).map_err(|_| refuse())?;
+    sockets::watch_silence(&stream).map_err(|_| refuse())?;
     let head = HeadLimit::default();
     let stream = Stream::with_head_limit(stream, head.clone());
     let (requests, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
--- a/net/src/peer.rs
+++ b/net/src/peer.rs
@@ -1,6 +1,7 @@
 //! Links between the system's own processes: one h2 stream each, with
 //! bincode frames, and pings that find a silent one.
 
+use std::net::SocketAddr;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -31,6 +32,7 @@
 use tokio_util::compat::FuturesAsyncReadCompatExt as _;
 
 use crate::frames;
+use crate::sockets;
 use crate::sockets::Stream;
 use crate::timeout::within;
 
@@ -208,7 +210,8 @@
 
 async fn dial_now(address: &str, hello: &Hello) -> Result<Link, LinkError> {
     let refuse = || LinkError::Connect(address.to_owned());
-    let stream = within(CONNECT_WAIT, TcpStream::connect(address))
+    let address: SocketAddr = address.parse().map_err(|_| refuse())?;
+    let stream = within(CONNECT_WAIT, sockets::connect(address))
         .await
         .ok_or_else(refuse)?
         .map_err(|_| refuse())?;
--- a/net/src/server_probe.rs
+++ b/net/src/server_probe.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use futures_lite::AsyncReadExt as _;
-use smol::net::TcpStream;
 
+use crate::sockets;
 use crate::timeout::within;
 
 /// Wait for an answer to the attempt to connect.
@@ -42,7 +42,7 @@
 /// Connects to a server whose connection broke, without sending anything.
 pub async fn probe(address: SocketAddr) -> ProbeResult {
     for _ in 0..MAX_CONNECTIONS {
-        match within(CONNECT_WAIT, TcpStream::connect(address)).await {
+        match within(CONNECT_WAIT, sockets::connect(address)).await {
             Some(Ok(mut stream)) => {
                 let closed = within(SETTLE_WAIT, stream.read(&mut [0])).await;
                 if closed.is_none() {
--- a/net/src/sockets.rs
+++ b/net/src/sockets.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::io::Read as _;
 use std::io::Write as _;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
@@ -15,10 +16,15 @@
 
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
+use rustix::io::Errno;
 use smol::Async;
 use smol::net::TcpStream;
+use socket2::Domain;
+use socket2::Protocol;
 use socket2::SockRef;
+use socket2::Socket;
 use socket2::TcpKeepalive;
+use socket2::Type;
 
 /// Idle time before the kernel probes a connection, and time between probes;
 /// the kernel takes whole seconds.
@@ -30,6 +36,42 @@
 /// Longest time that sent bytes may wait for their acknowledgement.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
 
+/// Connects to `address`.
+///
+/// The system gives an outgoing connection a port on which a process may want to listen at
+/// its next start. With the address marked as reusable, that process can bind it while this
+/// connection is open and after its end.
+///
+/// # Errors
+///
+/// Returns the system's error if nobody takes the connection. One from the address to
+/// itself, which the system makes where nobody listens on a port that it also gives to
+/// outgoing connections, counts as refused.
+pub async fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let domain = Domain::for_address(address);
+    let socket = Socket::new(domain, Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&address.into()) {
+        Err(error) if !is_in_progress(&error) => return Err(error),
+        _ => {}
+    }
+    let stream = Async::new_nonblocking(std::net::TcpStream::from(socket))?;
+    stream.writable().await?;
+    if let Some(error) = stream.get_ref().take_error()? {
+        return Err(error);
+    }
+    if stream.get_ref().local_addr()? == address {
+        let why = "connected to itself, as nobody listens there";
+        return Err(io::Error::new(io::ErrorKind::ConnectionRefused, why));
+    }
+    Ok(stream.into())
+}
+
+fn is_in_progress(error: &io::Error) -> bool {
+    error.raw_os_error() == Some(Errno::INPROGRESS.raw_os_error())
+}
+
 /// Makes a connection send at once, and fail when its peer falls silent.
 ///
 /// # Errors
