soak: restarts overlap, SIGHUP comes early, SIGTERM is repeated

No run started a process before its predecessor had ended, sent SIGHUP to one that was just started, or SIGTERM twice, so that none of the starts that failed in operation could be seen.

Half of the planned stops are now followed by a start while the process still ends; of the processes that no fault affects, one of six looks replaces one so at once. Half of all starts get SIGHUP as soon as the process catches it; stops are one to three SIGTERMs. These come from a series of random numbers of their own, so the faults of a seed are the same as before, and all checks are as they were; one is new: what was replaced ends in order.

--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -229,6 +229,21 @@
         signal(self.child(), Signal::HUP);
     }
 
+    /// Requests a child process to reload its settings as soon as that does not end it any
+    /// more: while the system loads the program, SIGHUP kills it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is a task.
+    pub async fn hang_up_early(&mut self) {
+        while !self.has_ended() {
+            if catches(self.id(), Signal::HUP) {
+                return self.hang_up();
+            }
+            smol::Timer::after(STOP_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns the process id.
     ///
     /// # Panics
@@ -273,6 +288,15 @@
     })
 }
 
+/// Returns whether a process has a handler for a signal.
+fn catches(id: u32, signal: Signal) -> bool {
+    let status = std::fs::read_to_string(format!("/proc/{id}/status")).unwrap_or_default();
+    let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+    let caught = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+    // The lowest bit stands for signal 1.
+    caught.is_some_and(|mask| mask >> (signal.as_raw() - 1) & 1 == 1)
+}
+
 /// Sends a signal by a system call of this process: a program that sends it takes longer
 /// than the first moments of a start last.
 fn signal(child: &Child, signal: Signal) {
--- a/testutils/src/soak.rs
+++ b/testutils/src/soak.rs
@@ -8,6 +8,7 @@
 use std::time::Instant;
 
 use limpetferry_lib::switches::Switches;
+use limpetferry_net::timeout::within;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand::rngs::SmallRng;
@@ -16,6 +17,7 @@
 use crate::platform_server::Run;
 use crate::platform_site::FIRST_VERSION;
 use crate::platform_site::PlatformSite;
+use crate::process::Process;
 use crate::soak_caller::Caller;
 use crate::soak_caller::Record;
 use crate::soak_caller::Records;
@@ -53,6 +55,14 @@
 const MAX_PAUSE_MS: u64 = 700;
 /// Time after a fault until gateways and keepers are linked again.
 const KNOWN_AGAIN: Duration = Duration::from_millis(1_500);
+/// Longest time from the request to stop a process until its successor has its addresses.
+const RESTART_TIME: Duration = Duration::from_secs(6);
+/// Tells the random numbers of restarts from those of faults.
+const RESTART_SERIES: u64 = 0x7e57_a275;
+/// Most stop signals to one process, plus one.
+const MAX_STOP_SIGNALS: usize = 4;
+/// Pauses between faults for each restart of a process that no fault affects.
+const ITERATIONS_PER_RESTART: u32 = 6;
 /// Number of consecutive requests that a server mishandles: enough that each
 /// kind of caller encounters one.
 const MISHANDLED_REQUESTS: usize = 5;
@@ -156,6 +166,63 @@
     }
 }
 
+/// How processes are started and stopped in a run, by random numbers of its own, so that
+/// the faults of a seed do not depend on it.
+struct Restarts {
+    random: SmallRng,
+    /// Processes that were replaced before they had ended.
+    ending: Vec<Process>,
+}
+
+impl Restarts {
+    fn new(seed: u64) -> Self {
+        Self {
+            random: SmallRng::seed_from_u64(seed ^ RESTART_SERIES),
+            ending: Vec::new(),
+        }
+    }
+
+    /// Asks a process to stop, at times more than once, as supervisors do.
+    async fn stop(&mut self, process: &mut Process) {
+        for _ in 0..self.random.random_range(1..MAX_STOP_SIGNALS) {
+            process.ask_stop().await;
+        }
+    }
+
+    /// Sends SIGHUP to a process that was just started, at times.
+    async fn after_start(&mut self, process: &mut Process) {
+        if self.random.random() {
+            process.hang_up_early().await;
+        }
+    }
+
+    /// Starts a process again before it has ended, which it is about to do.
+    async fn replace(&mut self, site: &mut PlatformSite, node: &str) {
+        self.ending.push(site.start_successor(node));
+        self.after_start(site.process(node)).await;
+    }
+
+    /// Returns a process to replace now, if any.
+    fn next(&mut self) -> Option<String> {
+        let kind = ["gateway", "keeper"][self.random.random_range(0..2)];
+        let count = if kind == "gateway" { GATEWAYS } else { KEEPERS };
+        let number = self.random.random_range(0..count);
+        let now = self.random.random_ratio(1, ITERATIONS_PER_RESTART);
+        now.then(|| format!("{kind}-{number}"))
+    }
+
+    /// Waits until all processes that were replaced have ended, and returns how many of
+    /// them did not in time or without success.
+    async fn failed(&mut self) -> usize {
+        let mut failed = 0;
+        for mut process in self.ending.drain(..) {
+            let ended = within(RECOVERY_TIMEOUT, process.ended()).await;
+            failed += usize::from(ended != Some(true));
+        }
+        failed
+    }
+}
+
 /// The site and the state of the faults injected into it.
 struct FaultySite {
     site: PlatformSite,
@@ -166,6 +233,7 @@
     /// Keeper whose disk was wiped last, until it has copied its data again. No
     /// other disk is wiped before that.
     wiped: Option<usize>,
+    restarts: Restarts,
     /// Log of injected and undone faults, reported if the run fails.
     trace: Vec<String>,
     /// Spans of the faults of gateways and keepers, in which a gateway may be the only
@@ -207,7 +275,8 @@
                 site.process(&format!("gateway-{number}")).kill();
             }
             Fault::StopGateway(number) => {
-                site.process(&format!("gateway-{number}")).ask_stop().await;
+                let gateway = site.process(&format!("gateway-{number}"));
+                self.restarts.stop(gateway).await;
             }
             Fault::FreezeGateway(number) => site.process(&format!("gateway-{number}")).freeze(),
             Fault::KillKeeper(number) | Fault::TearKeeper(number) => {
@@ -249,27 +318,67 @@
         }
     }
 
+    async fn start_gateway(&mut self, number: usize) {
+        self.site.start_gateway(number);
+        let gateway = self.site.process(&format!("gateway-{number}"));
+        self.restarts.after_start(gateway).await;
+    }
+
+    async fn start_keeper(&mut self, number: usize) {
+        self.site.start_keeper(number);
+        let keeper = self.site.process(&format!("keeper-{number}"));
+        self.restarts.after_start(keeper).await;
+    }
+
+    /// Stops a process on which no fault is active, and starts it again at once, at times.
+    /// Returns whether it did.
+    async fn restart_one(&mut self) -> bool {
+        let Some(node) = self.restarts.next() else {
+            return false;
+        };
+        let affected = |fault: &Fault| {
+            keeper_of(*fault).is_some_and(|n| n == KEEPERS || node == format!("keeper-{n}"))
+                || gateway_of(*fault).is_some_and(|n| node == format!("gateway-{n}"))
+        };
+        if self.active.iter().any(|(_, fault)| affected(fault)) {
+            return false;
+        }
+        self.trace.push(format!("replaced: {node}"));
+        self.restarts.stop(self.site.process(&node)).await;
+        self.restarts.replace(&mut self.site, &node).await;
+        true
+    }
+
     async fn undo(&mut self, fault: Fault, random: &mut SmallRng) {
         let site = &mut self.site;
         match fault {
-            Fault::KillGateway(number) => site.start_gateway(number),
+            Fault::KillGateway(number) => self.start_gateway(number).await,
             Fault::StopGateway(number) => {
-                site.process(&format!("gateway-{number}")).ended().await;
-                site.start_gateway(number);
+                let node = format!("gateway-{number}");
+                if self.restarts.random.random() {
+                    self.restarts.replace(site, &node).await;
+                } else {
+                    site.process(&node).ended().await;
+                    self.start_gateway(number).await;
+                }
             }
             Fault::FreezeGateway(number) => site.process(&format!("gateway-{number}")).thaw(),
             Fault::FreezeKeeper(number) => site.process(&format!("keeper-{number}")).thaw(),
-            Fault::KillKeeper(number) => site.start_keeper(number),
-            Fault::KillKeepers => (0..KEEPERS).for_each(|number| site.start_keeper(number)),
+            Fault::KillKeeper(number) => self.start_keeper(number).await,
+            Fault::KillKeepers => {
+                for number in 0..KEEPERS {
+                    self.start_keeper(number).await;
+                }
+            }
             Fault::WipeKeeper(number) => {
                 site.wipe(number);
-                site.start_keeper(number);
+                self.start_keeper(number).await;
             }
             Fault::TearKeeper(number) => {
                 let size = random.random_range(1..200);
                 let bytes: Vec<u8> = (0..size).map(|_| random.random()).collect();
                 site.tear(number, &bytes);
-                site.start_keeper(number);
+                self.start_keeper(number).await;
             }
             Fault::CutKeeper(number) => site.wires.keepers[number].set_cut(false),
             Fault::SlowKeeper(number) => site.wires.keepers[number].set_delay(Duration::ZERO),
@@ -374,6 +483,7 @@
         version: FIRST_ROUTING,
         active: Vec::new(),
         wiped: None,
+        restarts: Restarts::new(seed),
         trace: Vec::new(),
         spans: Vec::new(),
     };
@@ -384,6 +494,12 @@
         broken.push(format!("processes exited unexpectedly: {ended:?}"));
     }
     broken.extend(wait_for_recovery(&faulty, &records).await.err());
+    let failed = faulty.restarts.failed().await;
+    if failed > 0 {
+        broken.push(format!(
+            "{failed} processes that were replaced did not end in order"
+        ));
+    }
     if ended.is_empty() {
         broken.extend(over_memory(&mut faulty.site));
     }
@@ -444,6 +560,12 @@
             faulty.active.push((now + duration, fault));
             count += 1;
         }
+        if faulty.restart_one().await {
+            let start = Instant::now();
+            faulty
+                .spans
+                .push((start, start + RESTART_TIME + KNOWN_AGAIN));
+        }
         let pause = random.random_range(0..MAX_PAUSE_MS);
         smol::Timer::after(Duration::from_millis(pause)).await;
         now += pause;
