--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -12,6 +12,7 @@
 use limpetferry_lib::document::Fault;
 use limpetferry_lib::effect::LogEvent;
 
+use crate::addresses::ListenError;
 use crate::data_folder;
 use crate::log;
 use crate::panics;
@@ -169,7 +170,17 @@
 }
 
 fn fail(node: &str, error: &eyre::Report) -> ExitCode {
-    let note = LogEvent::new("start_failed").with("code", EXIT_FAILED);
-    log::note_end(node, &note.with("why", format!("{error:#}")));
-    ExitCode::from(EXIT_FAILED)
+    let unbound = error.downcast_ref::<ListenError>();
+    let code = unbound.map_or(EXIT_FAILED, ListenError::exit_code);
+    let note = LogEvent::new("start_failed").with("code", code);
+    let note = match unbound {
+        Some(unbound) => note
+            .with("setting", unbound.setting())
+            .with("value", unbound.address())
+            .with("why", unbound)
+            .with("remedy", unbound.remedy()),
+        None => note.with("why", format!("{error:#}")),
+    };
+    log::note_end(node, &note);
+    ExitCode::from(code)
 }
