documents: no number of a document or a header ends a task

Operators saw: after a configuration with a route's TimeoutMs 1e300, RetentionS 1e20 or IdleTimeoutMs 1e300 no process ends and `ready` stays 200, but no keeper follows the store any more, and the gateways follow them: a correct configuration is in force nowhere, a server that is replaced is not followed. A site that is started again meets the same document.

Cause: numbers were decoded as f64 and u64 and converted where they were used; `Duration::from_secs_f64` panics for what fits no duration, in the task that follows the store.

What cannot be meant refuses the document as a whole (negative times, weights, rates; fractions of counts; weights without a finite sum): the routing in force stays, with one line `routing_unread` a revision and the metric `routing_unread`.

A turn whose X-Token-Usage names 2^64 - 1 tokens made the sum against its budget panic in a debug build, and by reading wrap round in a release one (it would be let past its budget); the sums saturate, also over turns that others recorded. The uncached tokens of a prompt, a stream's tokens and tallies of ended requests too. - servers' load and Keep-Alive; times computed from measurements and reports in lib (`span_from_secs`); bounds longer than the clock in `within`.

--- a/lib/src/allowance.rs
+++ b/lib/src/allowance.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use crate::id::Boot;
+use crate::time::span_from_secs;
 use crate::workspace::Allowance;
 
 /// The operator's bounds on how far all gateways together may exceed the
@@ -52,7 +53,7 @@
 
     /// Returns the window.
     pub fn window(&self) -> Duration {
-        Duration::from_secs_f64(self.window_s.max(0.1))
+        span_from_secs(self.window_s.max(0.1))
     }
 
     fn per_window(&self, allowance: &Allowance) -> f64 {
--- a/lib/src/cached.rs
+++ b/lib/src/cached.rs
@@ -50,10 +50,10 @@
     /// Returns the prompt tokens that the server would have to prefill. Engines
     /// prefill parts in order, so all parts before a cached one are cached too.
     pub fn uncached_tokens(&self, parts: &[Part]) -> u64 {
-        let mut uncached = 0;
+        let mut uncached = 0_u64;
         for part in parts.iter().rev() {
             let cached = self.tokens(part.id);
-            uncached += part.tokens.saturating_sub(cached);
+            uncached = uncached.saturating_add(part.tokens.saturating_sub(cached));
             if cached > 0 {
                 break;
             }
--- a/lib/src/dispatch_queue.rs
+++ b/lib/src/dispatch_queue.rs
@@ -17,6 +17,7 @@
 use thiserror::Error;
 
 use crate::time::Time;
+use crate::time::span_from_secs;
 
 /// Wait after which a request of a less urgent rank may be served before more
 /// urgent ones: half of the shortest time limit that callers set for a request.
@@ -305,7 +306,7 @@
 
     /// Returns after which time callers should retry that find the queue full.
     pub fn retry_after(&self, rate: Option<f64>) -> Duration {
-        let drained = rate.map(|rate| duration_from_secs(self.len() as f64 / rate));
+        let drained = rate.map(|rate| span_from_secs(self.len() as f64 / rate));
         drained
             .unwrap_or_default()
             .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
@@ -326,7 +327,7 @@
         if ahead == 0 {
             return None;
         }
-        Some(duration_from_secs(ahead as f64 / rate))
+        Some(span_from_secs(ahead as f64 / rate))
     }
 
     fn insert(&mut self, waiting: QueuedRequest, owner: T) -> EntryKey {
@@ -406,8 +407,3 @@
         oldest.min().map(|(_, number)| number)
     }
 }
-
-/// Converts seconds to a duration; the largest one if the number is too large.
-fn duration_from_secs(count: f64) -> Duration {
-    Duration::try_from_secs_f64(count).unwrap_or(Duration::MAX)
-}
--- a/lib/src/fleet/paces.rs
+++ b/lib/src/fleet/paces.rs
@@ -14,6 +14,7 @@
 use crate::service_time::RequestConditions;
 use crate::service_time::Span;
 use crate::time::Time;
+use crate::time::span_from_secs;
 
 /// Maximum share of a service's servers that may be late before overdue
 /// requests are ignored: beyond it, the slowdown concerns the whole service.
@@ -129,7 +130,7 @@
             .pace
             .slow_change(now, baseline, &member.server.id, centre);
         self.pace_changes.extend(change);
-        took.div_f64(factor)
+        span_from_secs(took.as_secs_f64() / factor)
     }
 
     /// Returns the servers that became slow relative to their peers, or
--- a/lib/src/load_report.rs
+++ b/lib/src/load_report.rs
@@ -16,6 +16,7 @@
 use crate::place::Place;
 use crate::server::Load;
 use crate::time::Time;
+use crate::time::span_from_secs;
 
 /// Identifies one start of a server, in all processes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -141,7 +142,7 @@
         if ahead == 0.0 || self.rate <= 0.0 {
             return Duration::ZERO;
         }
-        Duration::from_secs_f64((ahead / self.rate).min(MAX_WAIT.as_secs_f64()))
+        span_from_secs(ahead / self.rate).min(MAX_WAIT)
     }
 }
 
--- a/lib/src/load_shed.rs
+++ b/lib/src/load_shed.rs
@@ -13,6 +13,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use crate::time::span_from_secs;
+
 /// Lateness from which on some first turns are refused: half of what the target
 /// of 150 ms for a lookup leaves beside its own work.
 const SHED_FROM: Duration = Duration::from_millis(50);
@@ -69,12 +71,12 @@
 
     /// Returns the average lateness of timers.
     pub fn timer_lateness(&self) -> Duration {
-        Duration::from_secs_f64(self.late.max(0.0))
+        span_from_secs(self.late)
     }
 
     /// Returns the average response time of the keepers.
     pub fn answer_time(&self) -> Duration {
-        Duration::from_secs_f64(self.answers.max(0.0))
+        span_from_secs(self.answers)
     }
 
     /// Returns the larger of the timers' lateness and the keepers' response time.
--- a/lib/src/overload.rs
+++ b/lib/src/overload.rs
@@ -20,6 +20,7 @@
 use crate::load_shed;
 use crate::load_shed::LoadShedder;
 use crate::time::Time;
+use crate::time::span_from_secs;
 
 /// Largest share of their time that programs may lose at full load. A caller that
 /// allows a program a third more time than it takes at idle servers can spare a
@@ -87,14 +88,14 @@
     pub fn new(estimate: &ServiceEstimate, slowdown: Duration) -> Self {
         let work = estimate.running + estimate.queued;
         let drain = if estimate.rate > 0.0 {
-            (work / estimate.rate).min(MAX_DRAIN.as_secs_f64())
+            span_from_secs(work / estimate.rate).min(MAX_DRAIN)
         } else {
-            0.0
+            Duration::ZERO
         };
         Self {
             delay: slowdown + estimate.wait(),
             utilization: estimate.utilization(),
-            drain: Duration::from_secs_f64(drain),
+            drain,
         }
     }
 }
--- a/lib/src/request_ends.rs
+++ b/lib/src/request_ends.rs
@@ -135,8 +135,8 @@
             let forgiven = forgiven_by(&turn.turn);
             match (forgiven, turn.ended) {
                 (Some(ends), _) => tally.forgiven = tally.forgiven.max(ends),
-                (None, true) => tally.ended += turn.tokens,
-                (None, false) => tally.open += turn.tokens,
+                (None, true) => tally.ended = tally.ended.saturating_add(turn.tokens),
+                (None, false) => tally.open = tally.open.saturating_add(turn.tokens),
             }
         }
         tally
--- a/lib/src/service_time.rs
+++ b/lib/src/service_time.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use crate::regression::Regression;
+use crate::time::span_from_secs;
 
 /// Initial estimate of the time to the first event, in ms: 0.01 ms per prompt
 /// token, half way between the slowest and the fastest known engines.
@@ -137,7 +138,7 @@
 
     /// Returns the mean time to an answer's first byte or event.
     pub fn answer(&self) -> Duration {
-        Duration::from_secs_f64(self.answer.max(0.0) / 1_000.0)
+        span_from_secs(self.answer / 1_000.0)
     }
 
     /// Returns the time to prefill the given number of prompt tokens, in ms.
@@ -189,7 +190,7 @@
             ..idle
         };
         let slower = self.stream_cost(&busy) - self.stream_cost(&idle);
-        Duration::from_secs_f64(slower.max(0.0) / 1_000.0)
+        span_from_secs(slower / 1_000.0)
     }
 
     /// Returns the cost of a plain request at a server, in ms.
--- a/lib/src/time.rs
+++ b/lib/src/time.rs
@@ -6,6 +6,22 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Longest span that a document, a header or a setting may name, ten years; longer ones
+/// count as this one. Sums and small multiples of it fit every clock.
+pub const MAX_SPAN: Duration = Duration::from_secs(3_650 * 24 * 3_600);
+
+/// Converts seconds to a span: zero if the number is negative or none, [`MAX_SPAN`] if
+/// it is larger.
+pub fn span_from_secs(secs: f64) -> Duration {
+    if secs < MAX_SPAN.as_secs_f64() {
+        Duration::from_secs_f64(secs.max(0.0))
+    } else if secs.is_nan() {
+        Duration::ZERO
+    } else {
+        MAX_SPAN
+    }
+}
+
 /// A point in time on the monotonic clock of one process, as the time since
 /// that clock's origin. Times of two processes are not comparable.
 #[derive(
--- a/lib/src/turn_admission.rs
+++ b/lib/src/turn_admission.rs
@@ -221,7 +221,7 @@
         {
             return NextAction::Wait;
         }
-        if self.tokens_of_others(|answers| &answers.noted) + self.most <= budget / 2 {
+        if self.tokens_with(self.tokens_of_others(|answers| &answers.noted)) <= budget / 2 {
             return NextAction::Go;
         }
         self.second_query = true;
@@ -237,10 +237,10 @@
         }
         let others = self.merge(|answers| &answers.seen);
         let recorded = others.values().filter(|share| !share.reserved);
-        let recorded: u64 = recorded.map(|share| share.tokens).sum();
-        if self.tokens_of_others(|answers| &answers.seen) + self.most <= budget {
+        let recorded = sum_tokens(recorded.copied());
+        if self.tokens_with(self.tokens_of_others(|answers| &answers.seen)) <= budget {
             NextAction::Go
-        } else if recorded + self.most <= budget {
+        } else if self.tokens_with(recorded) <= budget {
             NextAction::Reserved
         } else {
             NextAction::Spent
@@ -255,7 +255,12 @@
         view: impl Fn(&'a Answers) -> &'a Option<ReplicaView>,
     ) -> u64 {
         let turns = self.merge(view);
-        turns.values().map(|share| share.tokens).sum()
+        sum_tokens(turns.into_values())
+    }
+
+    /// Returns the tokens of other turns and those that this one may use.
+    fn tokens_with(&self, others: u64) -> u64 {
+        others.saturating_add(self.most)
     }
 
     /// Returns what the replicas reported last of the program's other turns.
@@ -326,3 +331,10 @@
 fn is_complete(view: &Option<ReplicaView>) -> bool {
     view.as_ref().is_some_and(|view| view.whole)
 }
+
+/// Returns the tokens of some turns together. A sum that is too large stays above every
+/// budget, where one that wraps round would be below it.
+fn sum_tokens<'a>(usage: impl IntoIterator<Item = &'a TurnUsage>) -> u64 {
+    let tokens = usage.into_iter().map(|share| share.tokens);
+    tokens.fold(0, u64::saturating_add)
+}
--- a/lib/tests/cached.rs
+++ b/lib/tests/cached.rs
@@ -159,3 +159,12 @@
     let same = all.iter().filter(|place| place.part.id == 99);
     assert_eq!(same.count(), 1);
 }
+
+// Guards against a process that panics while it holds what it knows of the servers, as a
+// caller names parts whose sum fits no number.
+#[test]
+fn parts_of_any_size_have_a_sum() {
+    let parts = [part(SHARED, u64::MAX), part(CHAIN, u64::MAX)];
+
+    assert_eq!(Cached::default().uncached_tokens(&parts), u64::MAX);
+}
--- a/lib/tests/opening.rs
+++ b/lib/tests/opening.rs
@@ -17,13 +17,18 @@
 const MOST: u64 = 30;
 
 fn opening() -> TurnAdmission {
+    opening_of(MOST)
+}
+
+/// Returns the admission of a turn that may use up to `most` tokens.
+fn opening_of(most: u64) -> TurnAdmission {
     let mut list = Membership::default();
     for number in 0..3_u16 {
         let address = ([10, 0, 0, 1], 7_000 + number).into();
         let name = format!("keeper-{number}");
         list = list.join(&name, address, 1).expect("it is new");
     }
-    TurnAdmission::new(list.replicas("program", 1), Some(BUDGET), MOST)
+    TurnAdmission::new(list.replicas("program", 1), Some(BUDGET), most)
 }
 
 fn view(others: &[&str]) -> ReplicaView {
@@ -174,3 +179,38 @@
         assert_matches!(of_three.step(at, noted), NextAction::Wait);
     }
 }
+
+// Guards against a turn that is let past its budget, as the sum of its tokens and those
+// of the others wraps round.
+#[test]
+fn a_turn_that_may_use_any_number_of_tokens_is_not_started() {
+    let mut turn = opening_of(u64::MAX);
+    turn.step(0, noted(&["first"]));
+    let first = turn.step(1, noted(&["first"]));
+    turn.step(0, ReplicaEvent::Seen(view(&["first"])));
+
+    let verdict = turn.step(1, ReplicaEvent::Seen(view(&["first"])));
+
+    assert_matches!(first, NextAction::Ask);
+    assert_matches!(verdict, NextAction::Spent);
+}
+
+// Guards against the same by turns of others, which any gateway may have recorded.
+#[test]
+fn the_tokens_of_other_turns_are_summed_up_without_wrapping_round() {
+    let others = || {
+        let mut view = view(&["first", "second"]);
+        view.shares
+            .iter_mut()
+            .for_each(|share| share.tokens = u64::MAX);
+        view
+    };
+    let mut turn = opening();
+    turn.step(0, ReplicaEvent::Noted(others(), OriginView::Unknown));
+    turn.step(1, ReplicaEvent::Noted(others(), OriginView::Unknown));
+    turn.step(0, ReplicaEvent::Seen(others()));
+
+    let verdict = turn.step(1, ReplicaEvent::Seen(others()));
+
+    assert_matches!(verdict, NextAction::Spent);
+}
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -332,7 +332,7 @@
     }
 
     fn used(&self) -> u64 {
-        self.events * self.event_tokens
+        self.events.saturating_mul(self.event_tokens)
     }
 
     /// Ends a stream that is whole: its turn counts from then on.
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -334,6 +334,8 @@
             let known = self.site.known();
             self.meters.servers.set(known.fleet.ready_count() as i64);
             self.meters.unread.set(known.unread.len() as i64);
+            let unread = known.unread_routing.is_some();
+            self.meters.routing_unread.set(unread.into());
             known.routing.is_some() && known.keepers.open
         };
         let now = known && self.turns.is_in_reach() && self.quarantine.is_loaded();
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -441,6 +441,8 @@
         let known = self.site.known();
         self.meters.epoch.set(known.keepers.epoch as i64);
         self.meters.watching.set(known.watch.is_some().into());
+        let unread = known.unread_routing.is_some();
+        self.meters.routing_unread.set(unread.into());
     }
 
     /// Puts what is known from the platform's store on disk whenever it
--- a/net/src/known.rs
+++ b/net/src/known.rs
@@ -35,6 +35,8 @@
     pub keepers_revision: u64,
     /// Names of keepers that the operator wants emptied.
     pub retiring: HashSet<String>,
+    /// Revision of a routing document that cannot be read, if the newest one is such.
+    pub unread_routing: Option<u64>,
     /// Ids in entries that name no server, as another writer made or spoilt them.
     pub unread: HashSet<String>,
     /// Revision of the store up to which everything is known.
--- a/net/src/lease.rs
+++ b/net/src/lease.rs
@@ -184,7 +184,7 @@
         let last = parts.last()?;
         let part = Part {
             id: last.id,
-            tokens: last.tokens + made,
+            tokens: last.tokens.saturating_add(made),
         };
         let now = self.gateway.clock.now();
         let mut known = self.gateway.site.known();
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -18,6 +18,9 @@
     0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0,
 ];
 
+/// What the gauge of an unread routing document shows.
+const ROUTING_UNREAD: &str = "Whether the newest routing document cannot be read";
+
 struct Maker {
     registry: Registry,
 }
@@ -122,6 +125,8 @@
     pub hop_time: Histogram,
     /// Version of the routing in force.
     pub routing: IntGauge,
+    /// Whether the newest routing document cannot be read.
+    pub routing_unread: IntGauge,
     /// Servers that take requests.
     pub servers: IntGauge,
     /// Entries that name no server.
@@ -216,6 +221,7 @@
             taken_over: make.counter("taken_over_total", "Requests from other gateways")?,
             hop_time: make.seconds("hop_seconds", "Way to another gateway and back")?,
             routing: make.gauge("routing_version", "Version of the routing in force")?,
+            routing_unread: make.gauge("routing_unread", ROUTING_UNREAD)?,
             servers: make.gauge("servers_ready", "Servers that take requests")?,
             unread: make.gauge("server_entries_unread", "Entries that name no server")?,
             ready: make.gauge("ready", "Whether the process takes callers")?,
@@ -259,6 +265,8 @@
     pub whole: IntGauge,
     /// Epoch of the list of keepers.
     pub epoch: IntGauge,
+    /// Whether the newest routing document cannot be read.
+    pub routing_unread: IntGauge,
     /// Whether a call of its own watches the platform's store.
     pub watching: IntGauge,
     /// Whether it is to be emptied while too few others would remain.
@@ -293,6 +301,7 @@
             disk_waiting: make.gauge("disk_jobs_waiting", "Jobs that wait for the disk")?,
             whole: make.gauge("whole", "Whether nothing acknowledged is missing here")?,
             epoch: make.gauge("keepers_epoch", "Epoch of the list of keepers")?,
+            routing_unread: make.gauge("routing_unread", ROUTING_UNREAD)?,
             watching: make.gauge("store_watching", "Whether it watches the platform's store")?,
             removal_blocked: make.gauge(
                 "removal_blocked",
--- a/net/src/site.rs
+++ b/net/src/site.rs
@@ -269,6 +269,10 @@
     }
 
     fn routing_unread(&self, error: &DocumentError, revision: u64) {
+        let known = self.known().unread_routing.replace(revision);
+        if known == Some(revision) {
+            return;
+        }
         self.note(
             LogEvent::new("routing_unread")
                 .with("why", error)
@@ -404,6 +408,7 @@
             .with("revision", revision)
             .with("in_force", newer)
             .with("by", origin.by);
+        known.unread_routing = None;
         if newer {
             known.routing = Some(Arc::new(routing));
         }
--- a/net/src/timeout.rs
+++ b/net/src/timeout.rs
@@ -21,6 +21,7 @@
 use futures_lite::FutureExt as _;
 use hyper::rt::Sleep;
 use hyper::rt::Timer;
+use limpetferry_lib::time::MAX_SPAN;
 
 /// How much later than asked a bound may take effect, so that those that fall
 /// together share a wake-up: little against the shortest bound, 30 ms.
@@ -37,12 +38,17 @@
 /// Waits for `future`, at most for `limit`; `None` if it took longer.
 pub async fn within<T>(limit: Duration, future: impl Future<Output = T>) -> Option<T> {
     let expire = async {
-        Expiry::new(Instant::now() + limit).await;
+        Expiry::new(due(limit)).await;
         None
     };
     async { Some(future.await) }.or(expire).await
 }
 
+/// Returns when `limit` ends. One that is longer than [`MAX_SPAN`] may not fit the clock.
+fn due(limit: Duration) -> Instant {
+    Instant::now() + limit.min(MAX_SPAN)
+}
+
 /// Place of a bound among those that wait: when it is due, and its number.
 type Place = (Instant, u64);
 
@@ -116,7 +122,7 @@
 
 impl Timer for HttpTimer {
     fn sleep(&self, duration: Duration) -> Pin<Box<dyn Sleep>> {
-        self.sleep_until(Instant::now() + duration)
+        self.sleep_until(due(duration))
     }
 
     fn sleep_until(&self, deadline: Instant) -> Pin<Box<dyn Sleep>> {
--- a/net/tests/timeout.rs
+++ b/net/tests/timeout.rs
@@ -70,3 +70,13 @@
         assert!(last.is_none());
     });
 }
+
+// Guards against a task that panics because its bound ends after the clock does.
+#[test]
+fn a_bound_of_any_length_holds() {
+    smol::block_on(async {
+        for limit in [Duration::MAX, Duration::from_secs(u64::MAX / 2)] {
+            assert_eq!(within(limit, async { 7 }).await, Some(7));
+        }
+    });
+}
