peer: connections that have not shown the key hold little

What operators saw: a keeper could be ended by anyone who reaches its port for other processes, without the key: it grew past its VM's memory, or had no file descriptor left.

Cause: the first frame of a link, which carries the key, was read like every later one, up to 64 MB; heads were taken up to the 16 MB of the HTTP/2 library; and the number of connections that had not said hello was unbounded, each for 3 s.

Keepers have 140 MB on the smallest deployments.

Now a first frame has at most 4 kB (a name of 64 bytes, a number and a digest), the head of a link 16 kB, that of a request handed over 64 kB, and of more than 256 connections that have not said hello the one that has waited longest gives way, as processes say it within milliseconds. The same holds for the gateways, entries and sides that take links.

The bounds of 4 kB and 64 kB are chosen, not measured. `peer::accept` has one more argument, and so its call in net/tests/load_reports.rs; what that test checks is unchanged.

--- a/net/src/handoff_links.rs
+++ b/net/src/handoff_links.rs
@@ -30,6 +30,7 @@
 
 use crate::handoff_wire::ANSWER_WINDOW;
 use crate::handoff_wire::Hop;
+use crate::handoff_wire::MAX_HEAD;
 use crate::handoff_wire::MAX_STREAMS;
 use crate::handoff_wire::PeerBody;
 use crate::handoff_wire::Stopped;
@@ -169,6 +170,7 @@
             .initial_window_size(ANSWER_WINDOW)
             .initial_connection_window_size(ANSWER_WINDOW * MAX_STREAMS as u32)
             .initial_max_send_streams(MAX_STREAMS)
+            .max_header_list_size(MAX_HEAD)
             .enable_push(false)
             .handshake::<_, Bytes>(Stream::new(stream).compat());
         let shaken = within(CONNECT_WAIT, shaking).await;
--- a/net/src/handoff_server.rs
+++ b/net/src/handoff_server.rs
@@ -26,6 +26,7 @@
 
 use crate::handoff_wire::BODY_WINDOW;
 use crate::handoff_wire::Hop;
+use crate::handoff_wire::MAX_HEAD;
 use crate::handoff_wire::MAX_STREAMS;
 use crate::handoff_wire::PeerBody;
 use crate::handoff_wire::Stopped;
@@ -109,6 +110,7 @@
         .initial_window_size(BODY_WINDOW)
         .initial_connection_window_size(BODY_WINDOW * MAX_STREAMS as u32)
         .max_concurrent_streams(MAX_STREAMS as u32)
+        .max_header_list_size(MAX_HEAD)
         .handshake::<_, Bytes>(Stream::new(stream).compat());
     let shaken = within(SHAKE_WAIT, shaking).await;
     let mut peer = shaken.ok_or_else(|| eyre::eyre!("it said nothing"))??;
--- a/net/src/handoff_wire.rs
+++ b/net/src/handoff_wire.rs
@@ -25,6 +25,8 @@
 
 /// Requests that one gateway hands to another one at once.
 pub const MAX_STREAMS: usize = 100;
+/// Bytes of the headers of a request or an answer.
+pub const MAX_HEAD: u32 = 64 << 10;
 /// Bytes of an answer that are held while its caller does not read.
 pub const ANSWER_WINDOW: u32 = 16 << 10;
 /// Bytes of a body under way to the gateway that serves it.
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -65,6 +65,7 @@
 use crate::segments::Segments;
 use crate::site::Site;
 use crate::site_file;
+use crate::strangers::Strangers;
 use crate::timeout::within;
 
 /// Time between looks whether the list of keepers has changed. It goes to disk
@@ -468,19 +469,25 @@
     }
 
     async fn listen(self: Arc<Self>, listener: TcpListener, hello: Hello) {
+        let strangers = Strangers::new(peer::MAX_STRANGERS);
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 smol::Timer::after(ACCEPT_PAUSE).await;
                 continue;
             };
-            let (this, hello) = (self.clone(), hello.clone());
-            smol::spawn(async move { this.serve(stream, &hello).await }).detach();
+            let (this, hello, strangers) = (self.clone(), hello.clone(), strangers.clone());
+            smol::spawn(async move { this.serve(stream, &hello, &strangers).await }).detach();
         }
     }
 
-    async fn serve(self: Arc<Self>, stream: smol::net::TcpStream, hello: &Hello) {
+    async fn serve(
+        self: Arc<Self>,
+        stream: smol::net::TcpStream,
+        hello: &Hello,
+        strangers: &Strangers,
+    ) {
         let window = self.room.budget().link_window();
-        let link = match peer::accept(stream, hello, window).await {
+        let link = match peer::accept(stream, hello, window, strangers).await {
             Ok(link) => link,
             Err(error) => {
                 self.note(LogEvent::new("link_refused").with("why", error));
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -71,6 +71,7 @@
 pub mod status;
 pub mod steps;
 pub mod store;
+pub mod strangers;
 pub mod suspect_api;
 pub mod timeout;
 mod turn_end;
--- a/net/src/links.rs
+++ b/net/src/links.rs
@@ -21,6 +21,7 @@
 use crate::peer;
 use crate::peer::Hello;
 use crate::peer::Link;
+use crate::strangers::Strangers;
 
 /// First wait before a lost link is dialled again.
 const REDIAL_FIRST: Duration = Duration::from_millis(50);
@@ -110,14 +111,15 @@
 
     /// Takes links on `listener` for as long as the process runs.
     pub async fn listen(self: Arc<Self>, listener: TcpListener) {
+        let strangers = Strangers::new(peer::MAX_STRANGERS);
         loop {
             let Ok((stream, _)) = listener.accept().await else {
                 smol::Timer::after(REDIAL_FIRST).await;
                 continue;
             };
-            let this = self.clone();
+            let (this, strangers) = (self.clone(), strangers.clone());
             smol::spawn(async move {
-                match peer::accept(stream, &this.hello, peer::WINDOW).await {
+                match peer::accept(stream, &this.hello, peer::WINDOW, &strangers).await {
                     Ok(link) => this.carry(link).await,
                     Err(error) => log::warn!("event=link_refused why={:?}", error.to_string()),
                 }
--- a/net/src/peer.rs
+++ b/net/src/peer.rs
@@ -32,10 +32,17 @@
 
 use crate::frames;
 use crate::sockets::Stream;
+use crate::strangers::Strangers;
 use crate::timeout::within;
 
 /// Largest frame.
 const MAX_FRAME: usize = frames::MAX_RECORD;
+/// Largest first frame: it comes before the other end has shown the key.
+const MAX_HELLO: usize = 4 << 10;
+/// Bytes of the headers with which a link begins.
+const MAX_HEAD: u32 = 16 << 10;
+/// Connections of a listener that have not said hello.
+pub const MAX_STRANGERS: usize = 256;
 /// Messages that wait for one link; above it the link is given up.
 pub const MAX_WAITING: usize = 65_536;
 /// Bytes under way before the other end has read them.
@@ -74,6 +81,9 @@
     /// The other end does not have the peers' key.
     #[error("the other end has another peers' key; set the same key in all processes")]
     Key,
+    /// Too many others dial.
+    #[error("over {MAX_STRANGERS} connections have not said hello; this one waited longest")]
+    Crowded,
     /// The other end went silent.
     #[error("no answer to a ping for {0:?}; the link is dialled anew")]
     Silent(Duration),
@@ -216,6 +226,7 @@
     let (mut client, mut connection) = h2::client::Builder::new()
         .initial_window_size(WINDOW)
         .initial_connection_window_size(WINDOW)
+        .max_header_list_size(MAX_HEAD)
         .handshake::<_, Bytes>(Stream::new(stream).compat())
         .await?;
     let ping = connection.ping_pong().ok_or(LinkError::Closed)?;
@@ -240,14 +251,22 @@
 }
 
 /// Takes a connection that another process dialled, and says hello. At most `window`
-/// bytes are under way to this process before it has read them.
+/// bytes are under way to this process before it has read them. Connections that have not
+/// said hello are among the `strangers` of their listener.
 ///
 /// # Errors
 ///
 /// Returns a [`LinkError`] if the other end has another key or breaks off.
-pub async fn accept(stream: TcpStream, hello: &Hello, window: u32) -> Result<Link, LinkError> {
-    within(DIAL_WAIT, accept_now(stream, hello, window))
-        .await
+pub async fn accept(
+    stream: TcpStream,
+    hello: &Hello,
+    window: u32,
+    strangers: &Strangers,
+) -> Result<Link, LinkError> {
+    let accepting = within(DIAL_WAIT, accept_now(stream, hello, window));
+    let accepted = strangers.meet(accepting).await;
+    accepted
+        .ok_or(LinkError::Crowded)?
         .ok_or(LinkError::Closed)?
 }
 
@@ -257,6 +276,7 @@
         .initial_window_size(window)
         .initial_connection_window_size(window)
         .max_concurrent_streams(1)
+        .max_header_list_size(MAX_HEAD)
         .handshake::<_, Bytes>(Stream::new(stream).compat())
         .await?;
     let ping = connection.ping_pong().ok_or(LinkError::Closed)?;
@@ -277,7 +297,7 @@
 }
 
 async fn read_hello(recv: &mut FrameReader, own: &Hello) -> Result<Hello, LinkError> {
-    let frame = recv.next().await?.ok_or(LinkError::Closed)?;
+    let frame = recv.next(MAX_HELLO).await?.ok_or(LinkError::Closed)?;
     let hello = decode_hello(&frame)?;
     if hello.key != own.key {
         return Err(LinkError::Key);
@@ -311,7 +331,7 @@
         let reading = async {
             loop {
                 match recv
-                    .next()
+                    .next(MAX_FRAME)
                     .await
                     .and_then(|frame| frame.map(|frame| decode::<I>(&frame)).transpose())
                 {
@@ -427,14 +447,14 @@
         }
     }
 
-    /// Returns the next frame; `None` at the end of the stream.
-    async fn next(&mut self) -> Result<Option<Bytes>, LinkError> {
+    /// Returns the next frame, of at most `most` bytes; `None` at the end of the stream.
+    async fn next(&mut self, most: usize) -> Result<Option<Bytes>, LinkError> {
         loop {
             if self.have.len() >= 4 {
                 let size =
                     u32::from_be_bytes([self.have[0], self.have[1], self.have[2], self.have[3]]);
                 let size = size as usize;
-                if size > MAX_FRAME {
+                if size > most {
                     return Err(LinkError::Frame(format!("{size} bytes in one message")));
                 }
                 if self.have.len() >= 4 + size {
--- a/net/tests/load_reports.rs
+++ b/net/tests/load_reports.rs
@@ -32,6 +32,7 @@
 use limpetferry_net::peer::LinkError;
 use limpetferry_net::replicas::Replicas;
 use limpetferry_net::site::Site;
+use limpetferry_net::strangers::Strangers;
 use limpetferry_net::timeout::within;
 use limpetferry_testutils::platform_site::PlatformSite;
 use smol::net::TcpListener;
@@ -91,8 +92,9 @@
 }
 
 async fn serve(listener: TcpListener, hello: Hello, summary: LoadSummary, asked: Arc<AtomicUsize>) {
+    let strangers = Strangers::new(peer::MAX_STRANGERS);
     while let Ok((stream, _)) = listener.accept().await {
-        let Ok(link) = peer::accept(stream, &hello, peer::WINDOW).await else {
+        let Ok(link) = peer::accept(stream, &hello, peer::WINDOW, &strangers).await else {
             continue;
         };
         let (sender, outgoing) = async_channel::unbounded();
