keeper: a lack of file descriptors is no failed disk

What operators saw: a keeper ended with exit code 4, "disk_failed", although its disk was sound, whenever connections had used up its file descriptors at the moment at which it opened a file: it does so with every change that comes from the platform's store.

Cause: every error of the thread that writes ends the process, and "too many open files" was one of them. It passes as soon as a connection ends.

Files are now opened by one function that waits while the process or the machine has no descriptor, 30 s at most, and says so once in a line event=descriptors_short. Records that wait meanwhile count as before, and new ones are refused when their part is used up. Files of histories are opened by another thread, whose error was and is an answer to the one that asks.

--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 mod compaction;
 pub mod copies;
+mod descriptors;
 pub mod disk;
 pub mod dispatch;
 pub mod entry_node;
--- a/net/src/segments.rs
+++ b/net/src/segments.rs
@@ -22,6 +22,7 @@
 use limpetferry_lib::text::TextSource;
 use thiserror::Error;
 
+use crate::descriptors;
 use crate::frames;
 use crate::frames::FrameReader;
 use crate::site_file;
@@ -184,10 +185,10 @@
     pub fn set_whole(&mut self) -> Result<(), SegmentError> {
         let path = self.folder.join(WHOLE);
         let write = || -> io::Result<()> {
-            let mut file = File::create(&path)?;
+            let mut file = descriptors::open(|| File::create(&path))?;
             file.write_all(b"limpetferry turns 1\n")?;
             file.sync_all()?;
-            File::open(&self.folder)?.sync_all()
+            descriptors::open(|| File::open(&self.folder))?.sync_all()
         };
         write().map_err(|error| self.fail(error))
     }
@@ -270,7 +271,8 @@
 
 impl SegmentReader {
     fn open(folder: &Path, number: u64) -> io::Result<Self> {
-        let frames = FrameReader::new(File::open(path(folder, number))?);
+        let path = path(folder, number);
+        let frames = FrameReader::new(descriptors::open(|| File::open(&path))?);
         Ok(Self { number, frames })
     }
 
@@ -357,13 +359,12 @@
 fn create(folder: &Path, number: u64) -> Result<(File, Segment), SegmentError> {
     let path = path(folder, number);
     let open = || -> io::Result<File> {
-        let file = OpenOptions::new()
-            .create_new(true)
-            .append(true)
-            .open(&path)?;
+        let mut options = OpenOptions::new();
+        options.create_new(true).append(true);
+        let file = descriptors::open(|| options.open(&path))?;
         file.sync_all()?;
         // The name is on disk only once the folder is.
-        File::open(folder)?.sync_all()?;
+        descriptors::open(|| File::open(folder))?.sync_all()?;
         Ok(file)
     };
     let file = open().map_err(|error| SegmentError::Io(path.clone(), error))?;
--- a/net/src/site_file.rs
+++ b/net/src/site_file.rs
@@ -8,6 +8,8 @@
 
 use limpetferry_lib::keeper_protocol::Snapshot;
 
+use crate::descriptors;
+
 /// Name of the file.
 const NAME: &str = "site";
 /// Name of the file while it is written.
@@ -40,10 +42,10 @@
     let body = bincode::serde::encode_to_vec(snapshot, bincode::config::standard())
         .map_err(io::Error::other)?;
     let next = folder.join(NEXT);
-    let mut file = File::create(&next)?;
+    let mut file = descriptors::open(|| File::create(&next))?;
     file.write_all(&crc32fast::hash(&body).to_be_bytes())?;
     file.write_all(&body)?;
     file.sync_all()?;
     fs::rename(&next, folder.join(NAME))?;
-    File::open(folder)?.sync_all()
+    descriptors::open(|| File::open(folder))?.sync_all()
 }
--- a/testutils/src/process.rs
+++ b/testutils/src/process.rs
@@ -192,6 +192,30 @@
         signal(self.child(), "HUP");
     }
 
+    /// Bounds the descriptors that a child process may have open.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is a task, or has ended.
+    pub fn limit_descriptors(&mut self, most: usize) {
+        let id = self.id().to_string();
+        let limit = format!("--nofile={most}:{most}");
+        let set = Command::new("prlimit")
+            .args(["--pid", &id, &limit])
+            .status();
+        assert!(set.is_ok_and(|status| status.success()), "the process runs");
+    }
+
+    /// Returns the number of descriptors that a child process has open.
+    ///
+    /// # Panics
+    ///
+    /// Panics if it is a task, or has ended.
+    pub fn descriptors(&mut self) -> usize {
+        let open = std::fs::read_dir(format!("/proc/{}/fd", self.id()));
+        open.expect("the process runs").count()
+    }
+
     /// Returns the process id.
     ///
     /// # Panics
