servers: connections hold less of an answer that is not handled

What operators saw: a gateway used all of an 88 MB VM while the servers of one service sent interim answers, or one line of a head, without end to 160 callers.

Cause: the HTTP library reads up to 408 kB ahead on each connection, whatever their number.

--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -61,6 +61,9 @@
 /// Bytes that may arrive before the head of an answer is whole, interim answers among
 /// them. The last read may bring a part of the body.
 const MAX_ANSWER_HEAD: usize = 1 << 20;
+/// Bytes of an answer that a connection holds before they are handled, and so the longest
+/// head.
+const READ_BUFFER: usize = 32 << 10;
 /// Longest answer that a client reads whole.
 pub const MAX_ANSWER: usize = 64 << 20;
 /// Idle connections kept for each server.
@@ -307,7 +310,9 @@
     crate::sockets::watch_silence(&stream).map_err(|_| refuse())?;
     let head = HeadLimit::default();
     let stream = Stream::with_head_limit(stream, head.clone());
-    let (requests, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
+    let (requests, connection) = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(READ_BUFFER)
+        .handshake(FuturesIo::new(stream))
         .await
         .map_err(|_| refuse())?;
     smol::spawn(async move {
--- a/testutils/src/endless.rs
+++ b/testutils/src/endless.rs
@@ -22,21 +22,39 @@
     Interim,
     /// Lines of its head.
     Head,
+    /// One line of its head.
+    HeadLine,
     /// Its body, in chunks.
     Chunks,
+    /// The extension of the first chunk of its body.
+    Extension,
+    /// The trailers after its body.
+    Trailers,
+    /// Its body, which has neither a length nor chunks.
+    Unframed,
     /// Its body, of a length that it never reaches.
     Length,
     /// Its body, of a length that it never reaches, as events.
     Events,
+    /// What follows a whole answer.
+    Excess,
+    /// Bytes that are no answer.
+    Noise,
 }
 
 impl Endless {
     fn head(self, attempt: &str) -> String {
         let own = format!("x-attempt-id: {attempt}\r\nx-server-signature: endless\r\n");
+        let chunked = format!("HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n");
         match self {
-            Self::Interim => String::new(),
+            Self::Interim | Self::Noise => String::new(),
             Self::Head => "HTTP/1.1 200 OK\r\n".to_owned(),
-            Self::Chunks => format!("HTTP/1.1 200 OK\r\n{own}transfer-encoding: chunked\r\n\r\n"),
+            Self::HeadLine => "HTTP/1.1 200 OK\r\nx-more: ".to_owned(),
+            Self::Chunks => chunked,
+            Self::Extension => format!("{chunked}5;name="),
+            Self::Trailers => format!("{chunked}5\r\nwhole\r\n0\r\n"),
+            Self::Unframed => format!("HTTP/1.1 200 OK\r\n{own}\r\n"),
+            Self::Excess => format!("HTTP/1.1 200 OK\r\n{own}content-length: 5\r\n\r\nwhole"),
             Self::Length | Self::Events => {
                 format!("HTTP/1.1 200 OK\r\n{own}content-length: 100000000000\r\n\r\n")
             }
@@ -46,9 +64,12 @@
     fn piece(self) -> Vec<u8> {
         let text = match self {
             Self::Interim => "HTTP/1.1 100 Continue\r\n\r\n".to_owned(),
-            Self::Head => "x-more: a line of a head\r\n".to_owned(),
+            Self::Head | Self::Trailers => "x-more: a line of a head\r\n".to_owned(),
             Self::Chunks => format!("1000\r\n{}\r\n", "x".repeat(0x1000)),
-            Self::Length => "x".repeat(0x1000),
+            Self::HeadLine | Self::Extension | Self::Unframed | Self::Length | Self::Excess => {
+                "x".repeat(0x1000)
+            }
+            Self::Noise => "\u{1}\u{2}".repeat(0x800),
             Self::Events => "data: word\n\n".to_owned(),
         };
         text.repeat(PIECE / text.len()).into_bytes()
