streams: incomplete events are bounded together

What operators saw: a gateway grew to three times an 88 MB VM while the servers of one service sent events without an end to 160 callers.

Cause: an event may have 1 MB, in each stream, and nothing counted the sum.

Bytes of incomplete events beyond 8 kB a stream count, and all together may be a quarter of bodies_mb; a stream that needs more ends as one whose event has no end: it goes on at another server if its route allows that, else its caller gets 502. What it held counts no longer then. Usual events are shorter than 8 kB, so that sound streams go on meanwhile; no test shows that part.

The shares are chosen; Gateway::most_arriving is to follow the budget of a gateway's memory once it is there.

--- a/lib/src/events.rs
+++ b/lib/src/events.rs
@@ -50,6 +50,11 @@
         self.buffer.has_remaining()
     }
 
+    /// Returns the number of bytes that were received and not returned as events.
+    pub fn buffered(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Returns whether the incomplete event exceeds the maximum size.
     pub fn exceeds_max_size(&self) -> bool {
         self.buffer.len() > MAX_EVENT_BYTES
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -21,6 +21,7 @@
 use limpetferry_platform::header;
 
 use crate::attempt::Progress;
+use crate::held::Hold;
 use crate::http::Body;
 use crate::http::Cut;
 use crate::lease::Failure;
@@ -33,6 +34,9 @@
 use crate::timeout::within;
 use crate::turns::OpenTurn;
 
+/// Bytes of an incomplete event that are not counted, so that streams with usual events go
+/// on while others hold all that may be held.
+const UNCOUNTED_EVENT: usize = 8 << 10;
 /// Tokens of an event where the service does not say.
 const USUAL_EVENT_TOKENS: u64 = 1;
 
@@ -43,6 +47,8 @@
     body: Incoming,
     lease: Option<Lease>,
     splitter: Splitter,
+    /// Its part of the bytes of incomplete events that the gateway holds.
+    arriving: Hold,
     events: u64,
     /// Whether something of its answer went to the caller.
     begun: bool,
@@ -98,6 +104,7 @@
             body: started.body,
             lease: Some(started.lease),
             splitter: Splitter::default(),
+            arriving: job.gateway.arriving.none(),
             events: 0,
             begun: false,
             output: BytesMut::new(),
@@ -208,6 +215,11 @@
             if let Some(bytes) = self.take_events() {
                 return Ok(Next::Events(bytes));
             }
+            if !self.hold_incomplete() {
+                let why = "too many bytes of incomplete events are held".to_owned();
+                self.resume(Failure::Unknown(why)).await?;
+                continue;
+            }
             let failure = match within(self.job.left(), self.body.frame()).await {
                 None => Failure::Late,
                 Some(None) if self.splitter.has_partial_event() => {
@@ -232,6 +244,13 @@
         }
     }
 
+    /// Counts the bytes of the incomplete event against those that the gateway may hold.
+    /// Returns whether it may hold them.
+    fn hold_incomplete(&mut self) -> bool {
+        let bytes = self.splitter.buffered().saturating_sub(UNCOUNTED_EVENT);
+        self.arriving.set(bytes, self.job.gateway.most_arriving())
+    }
+
     /// Takes all whole events that are here, as one piece.
     fn take_events(&mut self) -> Option<Bytes> {
         let first = self.splitter.next_event()?;
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -66,6 +66,8 @@
 
 mod notes;
 
+/// Part of the bytes that a gateway holds which incomplete events may have, as a divisor.
+const ARRIVING_SHARE: usize = 4;
 /// Time between looks for connections that were idle for too long, and for
 /// Part of the bytes that a gateway holds which the kept output of one stream may have, as
 /// a divisor.
@@ -109,6 +111,8 @@
     pub handoffs: Option<Arc<Handoffs>>,
     /// Bytes of requests that it holds.
     pub held: Held,
+    /// Bytes of incomplete events that it holds.
+    pub arriving: Held,
     /// Identifies requests over attempts.
     pub fingerprinter: Fingerprinter,
     /// Requests that end servers.
@@ -134,6 +138,11 @@
         self.live.get().bodies_mb << 20
     }
 
+    /// Returns the most bytes of incomplete events that it holds at once.
+    pub fn most_arriving(&self) -> usize {
+        self.most_held() / ARRIVING_SHARE
+    }
+
     /// Returns the most bytes that a stream may have whose output is kept.
     pub fn most_output(&self) -> usize {
         self.most_held() / OUTPUT_SHARE
@@ -444,6 +453,7 @@
         ),
         handoffs: Handoffs::new(&settings),
         held: Held::default(),
+        arriving: Held::default(),
         fingerprinter: common.fingerprinter(),
         quarantine: quarantine.clone(),
         doubts: Mutex::new(StartDoubts::new(clock.now())),
--- a/net/src/held.rs
+++ b/net/src/held.rs
@@ -28,6 +28,14 @@
         (before + bytes <= most).then_some(hold)
     }
 
+    /// Begins to hold, with no bytes.
+    pub fn none(&self) -> Hold {
+        Hold {
+            held: self.clone(),
+            bytes: 0,
+        }
+    }
+
     /// Returns the bytes that are held.
     pub fn bytes(&self) -> usize {
         self.bytes.load(Ordering::Relaxed)
@@ -40,6 +48,18 @@
         self.bytes
     }
 
+    /// Holds `bytes` in place of what it holds; changes nothing and returns `false` if all
+    /// together would be more than `most`. Fewer bytes are always held.
+    pub fn set(&mut self, bytes: usize, most: usize) -> bool {
+        if let Some(more) = bytes.checked_sub(self.bytes) {
+            return more == 0 || self.grow(more, most);
+        }
+        let fewer = self.bytes - bytes;
+        self.held.bytes.fetch_sub(fewer, Ordering::Relaxed);
+        self.bytes = bytes;
+        true
+    }
+
     /// Holds `bytes` more; changes nothing and returns `false` if all together would be
     /// more than `most`.
     pub fn grow(&mut self, bytes: usize, most: usize) -> bool {
--- a/net/tests/many_endless.rs
+++ b/net/tests/many_endless.rs
@@ -23,8 +23,9 @@
 /// Half of the memory of a gateway of the smallest deployments, in bytes: the other half
 /// is for callers.
 const SERVERS_MEMORY: u64 = 44 << 20;
-/// Path of a plain request at servers that send without end.
+/// Path of a plain request, and that of a stream, at servers that send without end.
 const PLAIN: &str = "/bad/1";
+const STREAM: &str = "/badstream/1";
 
 fn route(name: &str, kind: &str) -> Value {
     json!({
@@ -109,6 +110,14 @@
     }
 }
 
+// Guards against a gateway whose memory events without an end use up.
+#[test]
+fn events_without_end_of_many_streams_are_bounded_together() {
+    for kind in [Endless::Chunks, Endless::Unframed, Endless::Length] {
+        play(kind, STREAM, SERVERS_MEMORY);
+    }
+}
+
 #[test]
 fn other_parts_of_answers_without_end_are_bounded_together() {
     for kind in [
