--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -71,6 +71,8 @@
 
 mod notes;
 
+/// Part of the bytes that a gateway holds which incomplete events may have, as a divisor.
+const ARRIVING_SHARE: usize = 4;
 /// Time between looks for connections that were idle for too long, and for
 /// the keepers within reach.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
@@ -111,6 +113,8 @@
     pub handoffs: Option<Arc<Handoffs>>,
     /// Bytes of requests that it holds.
     pub held: Held,
+    /// Bytes of incomplete events that it holds.
+    pub arriving: Held,
     /// Identifies requests over attempts.
     pub fingerprinter: Fingerprinter,
     /// Requests that end servers.
@@ -141,6 +145,11 @@
         self.budget().bodies as usize
     }
 
+    /// Returns the most bytes of incomplete events that it holds at once.
+    pub fn most_arriving(&self) -> usize {
+        self.most_held() / ARRIVING_SHARE
+    }
+
     /// Returns the most bytes that a stream may have whose output is kept.
     pub fn most_output(&self) -> usize {
         self.budget().answer() as usize
@@ -449,6 +458,7 @@
         ),
         handoffs: Handoffs::new(&settings),
         held: Held::default(),
+        arriving: Held::default(),
         fingerprinter: common.fingerprinter(),
         quarantine: quarantine.clone(),
         doubts: Mutex::new(StartDoubts::new(clock.now())),
