settings: a bound that is false or a window of zero is no value

What operators would see: every process refuses its settings (exit code 5) where the platform gives a bound as false, or an allowance window of 0; both mean that the platform does not have it.

--- a/net/src/gateway_settings.rs
+++ b/net/src/gateway_settings.rs
@@ -187,7 +187,9 @@
 fn allowances<'de, D: Deserializer<'de>>(input: D) -> Result<AllowanceBounds, D::Error> {
     let given = AllowanceSettings::deserialize(input)?;
     let default = AllowanceBounds::default();
-    let window = given.window_s.map(|window| window.as_secs_f64());
+    // A platform without allowances may give a window of zero.
+    let window = given.window_s.filter(|window| !window.is_zero());
+    let window = window.map(|window| window.as_secs_f64());
     Ok(AllowanceBounds {
         window_s: window.unwrap_or(default.window_s),
         overrun: given.overrun.unwrap_or(default.overrun),
--- a/net/src/units.rs
+++ b/net/src/units.rs
@@ -1,5 +1,6 @@
 //! Numbers and addresses in settings files. A template writes them as the platform has
-//! them: integers, fractions or text, and empty text where there is no value.
+//! them: integers, fractions or text, and empty text, null or false where there is no
+//! value.
 
 use std::fmt;
 use std::net::SocketAddr;
@@ -196,13 +197,20 @@
 
     fn visit_str<E: Error>(self, text: &str) -> Result<T, E> {
         let text = text.trim();
-        if text.is_empty() {
+        if text.is_empty() || text.eq_ignore_ascii_case("false") {
             return self.visit_unit();
         }
         let number = text.parse().unwrap_or(f64::NAN);
         self.read(number, Unexpected::Str(text))
     }
 
+    fn visit_bool<E: Error>(self, given: bool) -> Result<T, E> {
+        if given {
+            return Err(E::invalid_value(Unexpected::Bool(given), &self.expected));
+        }
+        self.visit_unit()
+    }
+
     fn visit_unit<E: Error>(self) -> Result<T, E> {
         let missing = E::invalid_value(Unexpected::Other("no value"), &self.expected);
         self.empty.ok_or(missing)
