start: a settings file that is missing or half written is waited for

What operators would see: a process that starts while the platform writes its settings file ends with code 5, of which OPERATIONS.md says that no new start is needed. The platform writes the file at every start and whenever the settings change.

Cause: a file without an end and one that is not there were refused like a wrong setting.

Now it is read again every 20 ms for 10 s, with one line event=settings_awaited on standard error; SIGTERM ends the wait in order. What is whole and wrong is refused at once as before.

Evidence: a_settings_file_that_is_still_written_is_waited_for (real processes of both roles, half of a file, then the whole).

--- a/net/src/settings.rs
+++ b/net/src/settings.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::fs;
+use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
@@ -65,6 +66,15 @@
 }
 
 impl SettingsError {
+    /// Returns whether the file is missing or has no end yet, as while somebody writes it.
+    pub fn is_incomplete(&self) -> bool {
+        match self {
+            Self::Unreadable(_, error) => error.kind() == io::ErrorKind::NotFound,
+            Self::Malformed { error, .. } => error.classify() == Category::Eof,
+            Self::Faulty { .. } => false,
+        }
+    }
+
     /// Returns the name of the process whose settings they are; it is empty if it cannot be
     /// told.
     pub fn node(&self) -> &str {
--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -6,6 +6,8 @@
 use std::process;
 use std::process::ExitCode;
 use std::sync::OnceLock;
+use std::thread;
+use std::time::Duration;
 use std::time::Instant;
 
 use async_channel::Receiver;
@@ -28,6 +30,11 @@
 /// reason than its settings.
 const EXIT_FAILED: u8 = 1;
 
+/// Longest wait for a settings file that is missing or has no end.
+const SETTINGS_LIMIT: Duration = Duration::from_secs(10);
+/// Time between two looks at it.
+const SETTINGS_PAUSE: Duration = Duration::from_millis(20);
+
 /// When the process began to start.
 static BEGUN: OnceLock<Instant> = OnceLock::new();
 
@@ -92,17 +99,56 @@
     F: Future<Output = eyre::Result<()>> + Send + 'static,
 {
     BEGUN.get_or_init(Instant::now);
+    if check {
+        return check_settings::<S>(file);
+    }
+    let stop = signals.as_ref().ok().map(|signals| &signals.stop);
+    match read_settings::<S>(file, stop) {
+        Ok(Some(settings)) => run_process(signals, file, settings, run),
+        Ok(None) => ExitCode::SUCCESS,
+        Err(error) => refuse(&error),
+    }
+}
+
+fn check_settings<S: Check>(file: &Path) -> ExitCode {
     match settings::read::<S>(file) {
-        Ok(_) if check => {
+        Ok(_) => {
             println!("{}: no faults", file.display());
             ExitCode::SUCCESS
         }
-        Err(error) if check => {
+        Err(error) => {
             eprintln!("{error}");
             ExitCode::from(EXIT_FAILED)
         }
-        Ok(settings) => run_process(signals, file, settings, run),
-        Err(error) => refuse(&error),
+    }
+}
+
+/// Reads the settings, and waits for a file that is missing or still being written. Returns
+/// nothing if the process is stopped meanwhile.
+fn read_settings<S: Check>(
+    file: &Path,
+    stop: Option<&Receiver<()>>,
+) -> Result<Option<S>, SettingsError> {
+    let begun = Instant::now();
+    let mut is_told = false;
+    loop {
+        let error = match settings::read(file) {
+            Ok(settings) => return Ok(Some(settings)),
+            Err(error) => error,
+        };
+        if !error.is_incomplete() || begun.elapsed() >= SETTINGS_LIMIT {
+            return Err(error);
+        }
+        if stop.is_some_and(|stop| stop.try_recv().is_ok()) {
+            return Ok(None);
+        }
+        if !is_told {
+            is_told = true;
+            let note = LogEvent::new("settings_awaited").with("file", file.display());
+            let note = note.with("limit_s", SETTINGS_LIMIT.as_secs());
+            log::note_end("", &note.with("why", error));
+        }
+        thread::sleep(SETTINGS_PAUSE);
     }
 }
 
--- a/net/tests/start_settings.rs
+++ b/net/tests/start_settings.rs
@@ -298,6 +298,13 @@
             ("/Bounds/GraceS", json!("")),
             ("/Bounds/QuotaWindowS", json!("")),
         ],
+        vec![
+            ("/Bounds/GraceS", json!(false)),
+            ("/Bounds/QuotaWindowS", json!(false)),
+            ("/Bounds/QuotaOverrun", json!(false)),
+            ("/Limits/LinkMbps", json!(false)),
+        ],
+        vec![("/Bounds/QuotaWindowS", json!(0))],
     ];
     smol::block_on(async {
         for role in [Role::Gateway, Role::Keeper] {
@@ -311,6 +318,39 @@
     });
 }
 
+/// Guards against processes that end because the platform has not finished their settings
+/// file when they start.
+#[test]
+fn a_settings_file_that_is_still_written_is_waited_for() {
+    smol::block_on(async {
+        for role in [Role::Gateway, Role::Keeper] {
+            let machine = Machine::new(role);
+            let file = machine.render();
+            let whole = std::fs::read(&file).expect("it was written");
+            std::fs::write(&file, &whole[..whole.len() / 2]).expect("it can be written");
+            let log = machine.folder.join("node.log");
+            let mut process = Process::spawn_file(role.program(), &file, &log);
+            let awaited = async {
+                while !machine.log().contains("event=settings_awaited") && !process.has_ended() {
+                    smol::Timer::after(POLL_INTERVAL).await;
+                }
+            };
+            within(CONDITION_TIMEOUT, awaited).await;
+            std::fs::write(&file, &whole).expect("it can be written");
+
+            let started = async {
+                while !machine.log().contains("event=started") && !process.has_ended() {
+                    smol::Timer::after(POLL_INTERVAL).await;
+                }
+            };
+            within(CONDITION_TIMEOUT, started).await;
+
+            assert!(!process.has_ended(), "{role:?}: {}", machine.log());
+            assert!(machine.log().contains("event=started"), "{}", machine.log());
+        }
+    });
+}
+
 /// Guards against numbers that overflow or panic, and against refusals that do not name
 /// the setting and its value.
 #[test]
