http: a connection whose request panicked is open no more

A listener counted a connection as open until its task returned, so one whose request panicked counted for ever: after as many as `connections` the listener closes every new one unread, and a stop waits for them until its limit.

The count is now given back when the connection's guard is dropped, so also by a panic.

--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -133,16 +133,33 @@
             // Closing at once tells the client that nothing was read.
             continue;
         }
-        open.fetch_add(1, Ordering::Relaxed);
-        let (open, handler, stop) = (open.clone(), handler.clone(), stop.clone());
+        let connection = OpenConnection::new(&open);
+        let (handler, stop) = (handler.clone(), stop.clone());
         smol::spawn(async move {
+            let _connection = connection;
             serve_connection(stream, bounds, handler, stop).await;
-            open.fetch_sub(1, Ordering::Relaxed);
         })
         .detach();
     }
 }
 
+/// One of a listener's open connections. It is counted until this is dropped, so also
+/// if its task panics.
+struct OpenConnection(Arc<AtomicUsize>);
+
+impl OpenConnection {
+    fn new(open: &Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::Relaxed);
+        Self(open.clone())
+    }
+}
+
+impl Drop for OpenConnection {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
 async fn serve_connection(
     stream: TcpStream,
     bounds: Bounds,
