timeout: the test of long bounds waits once, so that the bound is polled

The future it bounded was ready at once, so the bound was never made: the test passed without the limit in `due`. With this one it fails there: "overflow when adding duration to instant". It asserts no less than before.

--- a/net/tests/timeout.rs
+++ b/net/tests/timeout.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use futures_lite::future;
 use limpetferry_net::timeout::within;
 
 /// Longer than any test waits for what has to come.
@@ -76,7 +77,11 @@
 fn a_bound_of_any_length_holds() {
     smol::block_on(async {
         for limit in [Duration::MAX, Duration::from_secs(u64::MAX / 2)] {
-            assert_eq!(within(limit, async { 7 }).await, Some(7));
+            let later = async {
+                future::yield_now().await;
+                7
+            };
+            assert_eq!(within(limit, later).await, Some(7));
         }
     });
 }
