essential: a process ends when a task that it cannot serve without has ended

Operators saw processes that lived, said 200 on `ready`, and followed the store no more, until everything was started again: a task that panicked or returned was gone, and nobody noticed. Likewise after a panic in the hold of a lock, every later use of that state panics ("no panic while locked", some 87 places), and the process serves nothing.

`Essential::spawn` takes the place of `smol::spawn(..).detach()` for the tasks that run as long as their process (gateway, keeper, entry, side, settings); `run_thread` is around the disk and reads threads; `without_panic` around `main`, the timers' driver, hand-overs and the tasks that dial links. When one ends while the process does not stop, there is one line `event=task_ended task= why=`, flushed, and the process ends with code 7, so that its supervisor starts it again. A panic that meets a poisoned lock ends the process in the same way, from the panic hook (`POISONED`). Requests and connections stay isolated: a panic there ends just that.

Weighed against starting the task again in place: its state was left half changed, and a process that starts anew reads it from the store, the keepers and the disk.

No process was started whose own task was made to panic (that would need a hook in the product).

--- a/net/src/disk.rs
+++ b/net/src/disk.rs
@@ -13,6 +13,7 @@
 use limpetferry_lib::ledger::StoredRecord;
 
 use crate::compaction::Compaction;
+use crate::essential;
 use crate::keeper_state::SharedState;
 use crate::log;
 use crate::replies::ReplySender;
@@ -111,12 +112,14 @@
         std::thread::Builder::new()
             .name("disk".to_owned())
             .spawn(move || {
-                if let Err(error) = writer.run(&queue, &again) {
-                    let note = LogEvent::new("disk_failed").with("folder", folder.display());
-                    log::note(&node, &note.with("why", error));
-                    log::flush();
-                    std::process::exit(DISK_FAILED);
-                }
+                essential::run_thread(&node, "disk", || {
+                    if let Err(error) = writer.run(&queue, &again) {
+                        let note = LogEvent::new("disk_failed").with("folder", folder.display());
+                        log::note(&node, &note.with("why", error));
+                        log::flush();
+                        std::process::exit(DISK_FAILED);
+                    }
+                });
             })?;
         Ok(Self { jobs, counts })
     }
--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -28,6 +28,7 @@
 use limpetferry_lib::shard_map::Block;
 
 use crate::clock::Clock;
+use crate::essential::Essential;
 use crate::http::Bounds;
 use crate::http::FLUSH_WAIT;
 use crate::http::HEAD_WAIT;
@@ -176,6 +177,7 @@
 /// take the registration.
 pub async fn run(settings: EntrySettings, stop: Receiver<()>) -> eyre::Result<()> {
     let common = settings.common.clone();
+    let essential = Essential::new(common.node.as_str());
     let metrics = Metrics::new().wrap_err("cannot make the metrics")?;
     let peers = bind("common.peers", common.peers)?;
     let callers = bind("callers", settings.callers)?;
@@ -188,7 +190,10 @@
         flush: FLUSH_WAIT,
     };
     let (end, ended) = async_channel::bounded::<()>(1);
-    smol::spawn(serve(health, listening, metrics.handler(), ended.clone())).detach();
+    essential.spawn(
+        "health",
+        serve(health, listening, metrics.handler(), ended.clone()),
+    );
 
     let store: Arc<dyn Store> = Arc::new(HttpStore::new(&common.store.to_string()));
     let node = Node {
@@ -202,7 +207,7 @@
     let (link_events, links_in) = async_channel::bounded(MAX_INPUTS);
     let hello = Hello::new(node.id.clone(), boot, common.key_digest());
     let links = Links::new(hello, link_events);
-    smol::spawn(links.clone().listen(peers)).detach();
+    essential.spawn("peers", links.clone().listen(peers));
 
     let (inputs, inputs_in) = async_channel::bounded(MAX_INPUTS);
     let handle = EntryHandle {
@@ -213,15 +218,18 @@
         store: store.clone(),
         metrics: metrics.clone(),
     };
-    smol::spawn(follow_store(store.clone(), handle.clone(), links, node)).detach();
+    essential.spawn(
+        "store",
+        follow_store(store.clone(), handle.clone(), links, node),
+    );
     if let Some(vms) = common.vms {
-        smol::spawn(crate::vms::follow(vms, handle.clone())).detach();
+        essential.spawn("vms", crate::vms::follow(vms, handle.clone()));
     }
     let caller_stop = ended.clone();
     let serving = crate::callers::handler(handle.clone());
-    smol::spawn(serve(callers, listening, serving, caller_stop)).detach();
+    essential.spawn("callers", serve(callers, listening, serving, caller_stop));
     let operating = crate::operators::handler(handle.clone());
-    smol::spawn(serve(operators, listening, operating, ended)).detach();
+    essential.spawn("operators", serve(operators, listening, operating, ended));
     metrics.set_ready(true);
     crate::log::note(
         common.node.as_str(),
@@ -230,6 +238,7 @@
 
     let task = Task::new(&handle, boot);
     task.run(inputs_in, links_in, stop).await;
+    essential.stop();
     // Connections end after the answer under way; the task has seen to it
     // that none is left.
     drop(end);
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -31,6 +31,8 @@
 use crate::allowances::Allowances;
 use crate::clock::Clock;
 use crate::dispatch::Dispatch;
+use crate::essential;
+use crate::essential::Essential;
 use crate::follow::Follower;
 use crate::gateway_settings::GatewaySettings;
 use crate::handoff::Handoffs;
@@ -392,6 +394,7 @@
 pub async fn run(live: Live<GatewaySettings>, stop: Receiver<()>) -> eyre::Result<()> {
     let settings = live.get();
     let common = &settings.common;
+    let essential = Essential::new(&common.node);
     let clock = Clock::default();
     let (changed, changes) = async_channel::bounded(1);
     let site = Site::new(&common.node, clock, common.key_digester(), changed);
@@ -412,13 +415,13 @@
         faults: common.faults,
         clock,
     };
-    smol::spawn(follower.follow()).detach();
+    essential.spawn("follower", follower.follow());
     let turns = Turns::new(site.clone(), replicas.clone(), common.faults, clock);
     let meters = GatewayMeters::new()?;
     let probes = meters.probes.clone();
     let quarantine = Quarantine::new(&common.node, clock, turns.clone(), probes);
-    smol::spawn(quarantine.clone().follow(end_notices)).detach();
-    smol::spawn(quarantine.clone().record_late()).detach();
+    essential.spawn("ends", quarantine.clone().follow(end_notices));
+    essential.spawn("late_records", quarantine.clone().record_late());
     let allowances = Allowances::new(
         common.allowances,
         settings.switches.programs,
@@ -427,7 +430,7 @@
         common.faults,
         clock,
     );
-    smol::spawn(allowances.clone().follow()).detach();
+    essential.spawn("allowances", allowances.clone().follow());
     let loads = LoadReports::new();
     let gateway = Arc::new(Gateway {
         node: common.node.clone(),
@@ -465,10 +468,10 @@
     let callers = bind("callers", settings.callers)?;
     let ready = bind("ready", settings.ready)?;
     let store = PlatformStore::new(common.store);
-    smol::spawn(site.clone().follow(store, common.watch_hold())).detach();
-    smol::spawn(site.clone().expire()).detach();
-    smol::spawn(gateway.clone().expire()).detach();
-    smol::spawn(gateway.clone().measure_lateness()).detach();
+    essential.spawn("store", site.clone().follow(store, common.watch_hold()));
+    essential.spawn("servers", site.clone().expire());
+    essential.spawn("upkeep", gateway.clone().expire());
+    essential.spawn("lateness", gateway.clone().measure_lateness());
     if settings.switches.reports {
         let reporter = LoadReporter::new(
             loads,
@@ -477,22 +480,24 @@
             clock,
             settled_state(&settings),
         );
-        smol::spawn(reporter.follow()).detach();
+        essential.spawn("load_reports", reporter.follow());
     }
     if settings.switches.overload {
-        smol::spawn(overload_watch::watch(gateway.clone())).detach();
+        essential.spawn("overload", overload_watch::watch(gateway.clone()));
     }
     let metrics = bind("common.metrics", common.metrics)?;
     let shown = gateway.clone();
     let shown = metrics::handler(&gateway.meters.registry, move || shown.is_ready());
     let shown = suspect_api::handler(quarantine.clone(), common.key_digest(), shown);
-    smol::spawn(http::serve(metrics, Bounds::SMALL, shown, closed.clone())).detach();
-    smol::spawn(async move {
+    essential.spawn(
+        "metrics",
+        http::serve(metrics, Bounds::SMALL, shown, closed.clone()),
+    );
+    essential.spawn("keepers", async move {
         while changes.recv().await.is_ok() {
             replicas.dial(&site.known().keepers.clone());
         }
-    })
-    .detach();
+    });
     let limits = Limits::default();
     let bounds = Bounds {
         connections: settings.connections,
@@ -501,22 +506,20 @@
         wait: limits.idle_timeout,
         flush: FLUSH_WAIT,
     };
-    let serving = smol::spawn(http::serve(
-        callers,
-        bounds,
-        handler(&gateway),
-        closed.clone(),
-    ));
-    smol::spawn(http::serve(
-        ready,
-        Bounds::SMALL,
-        ready_handler(&gateway),
-        closed,
-    ))
-    .detach();
+    let (served, serving) = async_channel::bounded::<()>(1);
+    let callers = http::serve(callers, bounds, handler(&gateway), closed.clone());
+    essential.spawn("callers", async move {
+        callers.await;
+        drop(served);
+    });
+    essential.spawn(
+        "ready",
+        http::serve(ready, Bounds::SMALL, ready_handler(&gateway), closed),
+    );
     let (leave, left) = async_channel::bounded::<()>(1);
     let taking = take_over(&gateway, &settings, left)?;
     let _ = stop.recv().await;
+    essential.stop();
     let begun = clock.now();
     gateway.stopping.store(true, Ordering::Relaxed);
     leave.close();
@@ -525,7 +528,7 @@
     close.close();
     let limit = Duration::from_millis(live.get().common.stop_ms).saturating_sub(STOP_SPARE);
     let left = limit.saturating_sub(clock.now().since(begun));
-    let ending = futures_lite::future::zip(serving, taking);
+    let ending = futures_lite::future::zip(serving.recv(), taking);
     let ended = within(left, ending).await.is_some();
     gateway.quarantine.flush().await;
     gateway.note(
@@ -570,9 +573,11 @@
         gateway.meters.taken_over.inc();
         Some(Box::pin(relay::answer(gateway, request, Some(hop))))
     });
-    Ok(smol::spawn(handoff_server::serve(
-        listener, key, handler, stop,
-    )))
+    let node = settings.common.node.clone();
+    Ok(smol::spawn(async move {
+        let serving = handoff_server::serve(listener, key, handler, stop);
+        essential::without_panic(&node, "handovers", serving).await;
+    }))
 }
 
 fn ready_handler(gateway: &Arc<Gateway>) -> Handler {
--- a/net/src/keeper_node.rs
+++ b/net/src/keeper_node.rs
@@ -38,6 +38,7 @@
 use crate::disk::Disk;
 use crate::disk::Job;
 use crate::disk::Listener;
+use crate::essential::Essential;
 use crate::follow::Follower;
 use crate::follow::HOLD;
 use crate::gateway_settings::DEFAULT_MEMORY_MB;
@@ -529,6 +530,7 @@
 pub async fn run(live: Live<KeeperSettings>, stop: Receiver<()>) -> eyre::Result<()> {
     let settings = live.get();
     let common = &settings.common;
+    let essential = Essential::new(&common.node);
     let folder = &settings.data.folder;
     let most = settings.data.most << 20;
     let budget = KeeperBudget::new(settings.memory_bytes(), most);
@@ -600,15 +602,18 @@
         common.key_digest(),
     );
     let listener = bind("common.peers", common.peers)?;
-    smol::spawn(keeper.clone().listen(listener, hello.clone())).detach();
+    essential.spawn("peers", keeper.clone().listen(listener, hello.clone()));
     let metrics = bind("common.metrics", common.metrics)?;
     let (_close, closed) = async_channel::bounded(1);
     let shown = keeper.clone();
     let shown = metrics::handler(&keeper.meters.registry, move || shown.state().whole);
-    smol::spawn(http::serve(metrics, Bounds::SMALL, shown, closed)).detach();
-    smol::spawn(keeper.clone().keep_site()).detach();
+    essential.spawn(
+        "metrics",
+        http::serve(metrics, Bounds::SMALL, shown, closed),
+    );
+    essential.spawn("site_file", keeper.clone().keep_site());
     let store = PlatformStore::new(common.store);
-    smol::spawn(site.follow(store, common.watch_hold())).detach();
+    essential.spawn("store", site.follow(store, common.watch_hold()));
     let replicas = Replicas::new(hello.clone(), clock);
     let follower = Follower {
         site: keeper.site.clone(),
@@ -618,12 +623,13 @@
         faults: common.faults,
         clock,
     };
-    smol::spawn(follower.follow_as_keeper()).detach();
+    essential.spawn("follower", follower.follow_as_keeper());
     let removals = Removals::new(keeper.clone(), replicas.clone(), common.faults);
-    smol::spawn(removals.follow()).detach();
+    essential.spawn("removals", removals.follow());
     let list = KeeperList::new(keeper.clone(), replicas, &settings);
-    smol::spawn(list.follow()).detach();
+    essential.spawn("keepers", list.follow());
     let _ = stop.recv().await;
+    essential.stop();
     log::note(
         &common.node,
         &LogEvent::new("stopped").with("role", "keeper"),
--- a/net/src/keeper_reads.rs
+++ b/net/src/keeper_reads.rs
@@ -30,6 +30,7 @@
 
 use crate::disk::Job;
 use crate::disk::Listener;
+use crate::essential;
 use crate::held::Hold;
 use crate::keeper_node::Keeper;
 use crate::keeper_state::SharedState;
@@ -86,9 +87,12 @@
         std::thread::Builder::new()
             .name("reads".to_owned())
             .spawn(move || {
-                while let Ok(job) = queue.recv_blocking() {
-                    reader.read(job);
-                }
+                let node = reader.node.clone();
+                essential::run_thread(&node, "reads", || {
+                    while let Ok(job) = queue.recv_blocking() {
+                        reader.read(job);
+                    }
+                });
             })?;
         Ok(Self { jobs, budget })
     }
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod disk;
 pub mod dispatch;
 pub mod entry_node;
+pub mod essential;
 pub mod flow;
 mod flushed;
 pub mod follow;
--- a/net/src/links.rs
+++ b/net/src/links.rs
@@ -18,6 +18,7 @@
 use socket2::Socket;
 use socket2::Type;
 
+use crate::essential;
 use crate::peer;
 use crate::peer::Hello;
 use crate::peer::Link;
@@ -141,7 +142,13 @@
             }
             dialled.insert(node.clone(), address.clone());
             let this = self.clone();
-            smol::spawn(this.keep_dialling(node.clone(), address.clone())).detach();
+            let (node, address) = (node.clone(), address.clone());
+            smol::spawn(async move {
+                let own = this.hello.node.clone();
+                let dialling = this.keep_dialling(node, address);
+                essential::without_panic(own.as_str(), "link", dialling).await;
+            })
+            .detach();
         }
     }
 
--- a/net/src/panics.rs
+++ b/net/src/panics.rs
@@ -7,6 +7,7 @@
 use limpetferry_lib::effect::LogEvent;
 use prometheus::IntCounter;
 
+use crate::essential;
 use crate::log;
 
 /// Panics whose line is flushed before the thread unwinds, as the process may end
@@ -18,18 +19,25 @@
     IntCounter::new("panics_total", "Panics of threads and tasks").expect("the name is valid")
 });
 
+/// Begins the message of a panic that meets a lock in whose hold another one happened.
+pub const POISONED: &str = "no panic while locked";
+
 /// Returns the counter of the process's panics.
 pub fn counter() -> IntCounter {
     PANICS.clone()
 }
 
 /// Writes each panic of the process as one line of the log, in place of the report
-/// on standard error, which may block.
+/// on standard error, which may block. One that finds shared state half changed by an
+/// earlier one ends the process, as each later use of that state would panic too.
 pub fn install(node: &str) {
     let node = node.to_owned();
     std::panic::set_hook(Box::new(move |info| {
         PANICS.inc();
         log::note(&node, &event(info));
+        if message(info.payload()).starts_with(POISONED) {
+            essential::end_process(&node, "shared state", "a panic left it half changed");
+        }
         if PANICS.get() <= MAX_FLUSHED {
             log::flush();
         }
--- a/net/src/replicas.rs
+++ b/net/src/replicas.rs
@@ -18,6 +18,7 @@
 use limpetferry_lib::time::Time;
 
 use crate::clock::Clock;
+use crate::essential;
 use crate::log;
 use crate::peer;
 use crate::peer::Hello;
@@ -151,10 +152,12 @@
                 continue;
             }
             let address = keeper.address.to_string();
-            let task = smol::spawn(
-                self.clone()
-                    .keep_dialling(keeper.node.clone(), address.clone()),
-            );
+            let this = self.clone();
+            let dialling = this.keep_dialling(keeper.node.clone(), address.clone());
+            let node = self.hello.node.clone();
+            let task = smol::spawn(async move {
+                essential::without_panic(node.as_str(), "keeper_link", dialling).await
+            });
             let dialled = Dialled {
                 address,
                 sender: None,
--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -31,6 +31,7 @@
 use crate::copies::NoCopies;
 use crate::copies::machine_run;
 use crate::entry_node::block_event;
+use crate::essential::Essential;
 use crate::http::Bounds;
 use crate::http::FLUSH_WAIT;
 use crate::http::HEAD_WAIT;
@@ -74,12 +75,16 @@
 /// Returns an error if an address is taken, or the data folder cannot be used.
 pub async fn run(settings: SideSettings, stop: Receiver<()>) -> eyre::Result<()> {
     let common = &settings.common;
+    let essential = Essential::new(common.node.as_str());
     let metrics = Metrics::new().wrap_err("cannot make the metrics")?;
     let (copies, found) = open_copies(&settings)?;
     let peers = bind("common.peers", common.peers)?;
     let health = bind("common.metrics", common.metrics)?;
     let (end, ended) = async_channel::bounded::<()>(1);
-    smol::spawn(serve(health, HEALTH, metrics.handler(), ended.clone())).detach();
+    essential.spawn(
+        "health",
+        serve(health, HEALTH, metrics.handler(), ended.clone()),
+    );
     let store: Arc<dyn Store> = Arc::new(HttpStore::new(&common.store.to_string()));
     let node = Node {
         id: common.node.clone(),
@@ -96,13 +101,14 @@
     let hello = Hello::new(node.id.clone(), boot, common.key_digest());
     let (link_events, links_in) = async_channel::bounded(MAX_INPUTS);
     let links = Links::new(hello, link_events);
-    smol::spawn(links.listen(peers)).detach();
+    essential.spawn("peers", links.listen(peers));
     metrics.set_ready(true);
     crate::log::note(
         node.id.as_str(),
         &LogEvent::new("started").with("boot", boot),
     );
     task.run(links_in, stop).await;
+    essential.stop();
     drop(end);
     let _ = store.delete(&keys::node(&node.id)).await;
     crate::log::note(node.id.as_str(), &LogEvent::new("stopped"));
--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -5,6 +5,8 @@
 
 use async_channel::Receiver;
 
+use crate::essential;
+use crate::essential::Essential;
 use crate::log;
 use crate::panics;
 use crate::reload::Live;
@@ -34,7 +36,8 @@
         let reload = reload_signal();
         let running = run(live.clone(), stop);
         async move {
-            smol::spawn(live.follow(node, reload?)).detach();
+            let essential = Essential::new(&node);
+            essential.spawn("settings", live.follow(node, reload?));
             running.await
         }
     })
@@ -63,7 +66,11 @@
     log::init(settings.log())?;
     panics::install(settings.node());
     let stop = stop_signal()?;
+    let node = settings.node().to_owned();
+    let running = run(settings, stop);
     // Everything runs on the executor's one thread. Waiting for it without a
     // reactor of its own keeps this thread from taking events away from it.
-    futures_lite::future::block_on(smol::spawn(run(settings, stop)))
+    futures_lite::future::block_on(smol::spawn(async move {
+        essential::without_panic(&node, "main", running).await
+    }))
 }
--- a/net/src/timeout.rs
+++ b/net/src/timeout.rs
@@ -23,6 +23,8 @@
 use hyper::rt::Timer;
 use limpetferry_lib::time::MAX_SPAN;
 
+use crate::essential;
+
 /// How much later than asked a bound may take effect, so that those that fall
 /// together share a wake-up: little against the shortest bound, 30 ms.
 const GRAIN: Duration = Duration::from_millis(4);
@@ -140,7 +142,9 @@
 
 impl Expiry {
     fn new(due: Instant) -> Self {
-        DRIVER.call_once(|| smol::spawn(drive()).detach());
+        DRIVER.call_once(|| {
+            smol::spawn(essential::without_panic("", "timers", drive())).detach();
+        });
         Self { due, place: None }
     }
 }
