--- a/net/src/addresses.rs
+++ b/net/src/addresses.rs
@@ -23,6 +23,7 @@
 use thiserror::Error;
 
 use crate::clock::Clock;
+use crate::essential;
 use crate::log;
 
 /// Connections that wait to be taken.
@@ -237,7 +238,9 @@
             };
             let bound = async { Some(this.bind(setting, address, need).await) };
             match future::or(stopped, bound).await {
-                Some(Ok(listener)) => serve(listener).await,
+                Some(Ok(listener)) => {
+                    essential::without_panic(&this.node, setting, serve(listener)).await;
+                }
                 Some(Err(error)) => {
                     let _ = this.say_failure.send(error).await;
                 }
--- a/net/src/entry_node.rs
+++ b/net/src/entry_node.rs
@@ -31,6 +31,7 @@
 use crate::addresses::Listeners;
 use crate::addresses::Need;
 use crate::clock::Clock;
+use crate::essential::Essential;
 use crate::http::Bounds;
 use crate::http::FLUSH_WAIT;
 use crate::http::HEAD_WAIT;
@@ -179,6 +180,7 @@
 /// take the registration.
 pub async fn run(settings: EntrySettings, stop: Receiver<()>) -> eyre::Result<()> {
     let common = settings.common.clone();
+    let essential = Essential::new(common.node.as_str());
     let metrics = Metrics::new().wrap_err("cannot make the metrics")?;
     let listening = Bounds {
         connections: settings.limits.connections,
@@ -218,7 +220,7 @@
     let (link_events, links_in) = async_channel::bounded(MAX_INPUTS);
     let hello = Hello::new(node.id.clone(), boot, common.key_digest());
     let links = Links::new(hello, link_events);
-    smol::spawn(links.clone().listen(peers)).detach();
+    essential.spawn("peers", links.clone().listen(peers));
 
     let (inputs, inputs_in) = async_channel::bounded(MAX_INPUTS);
     let handle = EntryHandle {
@@ -229,15 +231,18 @@
         store: store.clone(),
         metrics: metrics.clone(),
     };
-    smol::spawn(follow_store(store.clone(), handle.clone(), links, node)).detach();
+    essential.spawn(
+        "store",
+        follow_store(store.clone(), handle.clone(), links, node),
+    );
     if let Some(vms) = common.vms {
-        smol::spawn(crate::vms::follow(vms, handle.clone())).detach();
+        essential.spawn("vms", crate::vms::follow(vms, handle.clone()));
     }
     let caller_stop = ended.clone();
     let serving = crate::callers::handler(handle.clone());
-    smol::spawn(serve(callers, listening, serving, caller_stop)).detach();
+    essential.spawn("callers", serve(callers, listening, serving, caller_stop));
     let operating = crate::operators::handler(handle.clone());
-    smol::spawn(serve(operators, listening, operating, ended)).detach();
+    essential.spawn("operators", serve(operators, listening, operating, ended));
     metrics.set_ready(true);
     crate::log::note(
         common.node.as_str(),
@@ -246,6 +251,7 @@
 
     let task = Task::new(&handle, boot);
     task.run(inputs_in, links_in, stop).await;
+    essential.stop();
     // Connections end after the answer under way; the task has seen to it
     // that none is left.
     drop(end);
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -35,6 +35,7 @@
 use crate::allowances::Allowances;
 use crate::clock::Clock;
 use crate::dispatch::Dispatch;
+use crate::essential::Essential;
 use crate::follow::Follower;
 use crate::gateway_settings::DEFAULT_MEMORY_MB;
 use crate::gateway_settings::GatewaySettings;
@@ -408,6 +409,7 @@
 pub async fn run(live: Live<GatewaySettings>, stop: Receiver<()>) -> eyre::Result<()> {
     let settings = live.get();
     let common = &settings.common;
+    let essential = Essential::new(&common.node);
     let clock = Clock::default();
     let (changed, changes) = async_channel::bounded(1);
     let site = Site::new(&common.node, clock, common.key_digester(), changed);
@@ -485,15 +487,15 @@
         log::flush();
         return Ok(());
     };
-    smol::spawn(follower.follow()).detach();
-    smol::spawn(quarantine.clone().follow(end_notices)).detach();
-    smol::spawn(quarantine.clone().record_late()).detach();
-    smol::spawn(gateway.allowances.clone().follow()).detach();
+    essential.spawn("follower", follower.follow());
+    essential.spawn("ends", quarantine.clone().follow(end_notices));
+    essential.spawn("late_records", quarantine.clone().record_late());
+    essential.spawn("allowances", gateway.allowances.clone().follow());
     let store = PlatformStore::new(common.store);
-    smol::spawn(site.clone().follow(store, common.watch_hold())).detach();
-    smol::spawn(site.clone().expire()).detach();
-    smol::spawn(gateway.clone().expire()).detach();
-    smol::spawn(gateway.clone().measure_lateness()).detach();
+    essential.spawn("store", site.clone().follow(store, common.watch_hold()));
+    essential.spawn("servers", site.clone().expire());
+    essential.spawn("upkeep", gateway.clone().expire());
+    essential.spawn("lateness", gateway.clone().measure_lateness());
     if settings.switches.reports {
         let reporter = LoadReporter::new(
             loads,
@@ -502,17 +504,16 @@
             clock,
             settled_state(&settings),
         );
-        smol::spawn(reporter.follow()).detach();
+        essential.spawn("load_reports", reporter.follow());
     }
     if settings.switches.overload {
-        smol::spawn(overload_watch::watch(gateway.clone())).detach();
+        essential.spawn("overload", overload_watch::watch(gateway.clone()));
     }
-    smol::spawn(async move {
+    essential.spawn("keepers", async move {
         while changes.recv().await.is_ok() {
             replicas.dial(&site.known().keepers.clone());
         }
-    })
-    .detach();
+    });
     let limits = Limits::default();
     let bounds = Bounds {
         connections: settings.budget().connections,
@@ -521,10 +522,16 @@
         wait: limits.idle_timeout,
         flush: FLUSH_WAIT,
     };
-    let serving = smol::spawn(http::serve(callers, bounds, handler(&gateway), closed));
+    let (served, serving) = async_channel::bounded::<()>(1);
+    let callers = http::serve(callers, bounds, handler(&gateway), closed);
+    essential.spawn("callers", async move {
+        callers.await;
+        drop(served);
+    });
     let (leave, left) = async_channel::bounded::<()>(1);
     let taking = take_over(&gateway, &settings, &listeners, left);
     let failed = listeners.until_stop::<()>(&stop, future::pending()).await;
+    essential.stop();
     let begun = clock.now();
     gateway.stopping.store(true, Ordering::Relaxed);
     leave.close();
@@ -533,7 +540,7 @@
     close.close();
     let limit = live.get().common.stop_limit().saturating_sub(STOP_SPARE);
     let left = limit.saturating_sub(clock.now().since(begun));
-    let ending = future::zip(serving, taking);
+    let ending = future::zip(serving.recv(), taking);
     let ended = within(left, ending).await.is_some();
     gateway.quarantine.flush().await;
     gateway.note(
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod disk;
 pub mod dispatch;
 pub mod entry_node;
+pub mod essential;
 pub mod flow;
 mod flushed;
 pub mod follow;
--- a/net/src/side_node.rs
+++ b/net/src/side_node.rs
@@ -33,6 +33,7 @@
 use crate::copies::NoCopies;
 use crate::copies::machine_run;
 use crate::entry_node::block_event;
+use crate::essential::Essential;
 use crate::http::Bounds;
 use crate::http::FLUSH_WAIT;
 use crate::http::HEAD_WAIT;
@@ -76,6 +77,7 @@
 /// Returns an error if an address is taken, or the data folder cannot be used.
 pub async fn run(settings: SideSettings, stop: Receiver<()>) -> eyre::Result<()> {
     let common = &settings.common;
+    let essential = Essential::new(common.node.as_str());
     let metrics = Metrics::new().wrap_err("cannot make the metrics")?;
     let (end, ended) = async_channel::bounded::<()>(1);
     let node = common.node.as_str();
@@ -110,13 +112,14 @@
     let hello = Hello::new(node.id.clone(), boot, common.key_digest());
     let (link_events, links_in) = async_channel::bounded(MAX_INPUTS);
     let links = Links::new(hello, link_events);
-    smol::spawn(links.listen(peers)).detach();
+    essential.spawn("peers", links.listen(peers));
     metrics.set_ready(true);
     crate::log::note(
         node.id.as_str(),
         &identify(LogEvent::new("started").with("boot", boot)),
     );
     task.run(links_in, stop).await;
+    essential.stop();
     drop(end);
     let _ = store.delete(&keys::node(&node.id)).await;
     crate::log::note(node.id.as_str(), &LogEvent::new("stopped"));
--- a/net/src/start.rs
+++ b/net/src/start.rs
@@ -16,6 +16,8 @@
 
 use crate::addresses::ListenError;
 use crate::data_folder;
+use crate::essential;
+use crate::essential::Essential;
 use crate::log;
 use crate::panics;
 use crate::reload::Live;
@@ -64,7 +66,8 @@
         let live = Live::new(file, settings);
         let running = run(live.clone(), signals.stop);
         async move {
-            smol::spawn(live.follow(node, signals.reload)).detach();
+            let essential = Essential::new(&node);
+            essential.spawn("settings", live.follow(node, signals.reload));
             running.await
         }
     })
@@ -184,7 +187,11 @@
     let ended = signals.map_err(eyre::Report::from).and_then(|signals| {
         // Everything runs on the executor's one thread. Waiting for it without a
         // reactor of its own keeps this thread from taking events away from it.
-        futures_lite::future::block_on(smol::spawn(run(settings, signals)))
+        let running = run(settings, signals);
+        let name = node.clone();
+        futures_lite::future::block_on(smol::spawn(async move {
+            essential::without_panic(&name, "main", running).await
+        }))
     });
     match ended {
         Ok(()) => ExitCode::SUCCESS,
