gateway: memory that callers use is bounded in all, and given to others

Callers of a gateway saw their connections end and its process gone once others left answers unread: 600 to 2,400 of them took one gateway to 91 to 202 MB on VMs of 88 MB and more. While other callers kept all connections, new ones were closed at once.

Cause: a plain answer was counted until hyper had it, which copied it into a buffer that it kept for as long as the connection lasted. Connections to servers read up to 400 KB before anybody asked for it. Heads were bounded on each connection only. Nothing was given back by a caller that neither sent nor read.

Now an answer's bytes carry their count until the last of them is written, hyper writes several buffers at once and copies nothing, and a server's connection reads 32 KB ahead. An answer of known length waits for room as a whole, short ones apart from long ones. The next request of a connection begins once the answer before it is written. When connections, heads, bodies or answers are used up, the connection that keeps most from others is closed: idle for 250 ms, or without a byte for 500 ms, or the oldest unfinished head; never one whose request is at a server. lib/src/caller_connections.rs decides. Kept output of streams counts among the answers. A request without a body holds no room for one; a refusal for lack of room says 0.5 s, when a stalled caller is closed. Each part has a gauge, a counter, and a line `full` once until `has_room`.

A connection costs 64 KB with its request and its server's connection in place of the 32 KB chosen before: 59 KB were measured with 1,013 of them and answers of 2 bytes (65 MB).

Broken in a copy and noticed: the count until written (4 MB, 300 MB peak), several buffers at once, the read-ahead (in a row, 287 MB), the bound on heads, the closing for connections, bodies and answers (504). Not noticed: the wait of the next request in a row, since hyper waits there too.

--- a/lib/src/gateway_budget.rs
+++ b/lib/src/gateway_budget.rs
@@ -3,21 +3,21 @@
 /// Part of a gateway's memory for connections of callers: their buffers and the state of
 /// the request that is under way on each. What is not given here is for code, stacks, the
 /// routing document, the list of servers and free space between allocations.
-const CONNECTION_SHARE: f64 = 0.36;
+const CONNECTION_SHARE: f64 = 0.42;
 /// Part of the memory for request heads that are not whole.
 const HEAD_SHARE: f64 = 0.04;
 /// Part of the memory for request bodies.
-const BODY_SHARE: f64 = 0.15;
+const BODY_SHARE: f64 = 0.12;
 /// Part of the memory for answers that were read from servers and not written to callers.
-const ANSWER_SHARE: f64 = 0.15;
+const ANSWER_SHARE: f64 = 0.13;
 /// Part of the memory for bytes that have arrived from servers, keepers, other gateways
 /// and the platform's store and were not handled.
 const ARRIVING_SHARE: f64 = 0.08;
 /// Part of the memory for log lines that are not written.
 const LOG_SHARE: f64 = 0.02;
-/// Memory of one connection with a request under way, in bytes, without the request's
-/// body and its answer.
-const CONNECTION_BYTES: u64 = 32 << 10;
+/// Memory of one connection with a request under way and the connection to its server, in
+/// bytes, without the request's body and its answer.
+pub const CONNECTION_BYTES: u64 = 64 << 10;
 /// Part of the memory for bodies or answers that one of them may have, as a divisor.
 const SINGLE_DIVISOR: u64 = 2;
 /// Least memory that a gateway can work with, in bytes.
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod code;
 mod call_end;
 mod call_start;
+pub mod caller_connections;
 pub mod callers;
 pub mod completeness;
 pub mod concurrency_limit;
--- a/net/src/flow.rs
+++ b/net/src/flow.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use limpetferry_lib::events::Event;
 use limpetferry_lib::events::Splitter;
+use limpetferry_lib::gateway_budget::GatewayPart;
 use limpetferry_lib::place::Place;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::server::ServerOutcome;
@@ -21,6 +22,7 @@
 use limpetferry_platform::header;
 
 use crate::attempt::Progress;
+use crate::held::Hold;
 use crate::http::Body;
 use crate::http::Cut;
 use crate::lease::Failure;
@@ -50,6 +52,8 @@
     kept: bool,
     /// What the turn said so far, if its history is kept.
     output: BytesMut,
+    /// Counts its output among the answers.
+    output_hold: Hold,
     turn: Option<OpenTurn>,
 }
 
@@ -101,6 +105,7 @@
             events: 0,
             begun: false,
             output: BytesMut::new(),
+            output_hold: job.gateway.answers.hold(),
             turn,
             job,
         };
@@ -221,7 +226,7 @@
                     }
                     if self.splitter.exceeds_max_size() {
                         Failure::Unknown("an event has no end".to_owned())
-                    } else if self.output.len() > self.job.gateway.most_output() {
+                    } else if !self.hold_output() {
                         Failure::Unknown("the stream is too long to be kept".to_owned())
                     } else {
                         continue;
@@ -232,6 +237,18 @@
         }
     }
 
+    /// Counts the output that is kept. Returns whether there is room for it.
+    fn hold_output(&mut self) -> bool {
+        let gateway = &self.job.gateway;
+        let more = self.output.len().saturating_sub(self.output_hold.bytes());
+        let all = gateway.budget().answers as usize;
+        if more == 0 || self.output_hold.grow(more, all) {
+            return self.output.len() <= gateway.most_output();
+        }
+        gateway.memory.lack(GatewayPart::Answers);
+        false
+    }
+
     /// Takes all whole events that are here, as one piece.
     fn take_events(&mut self) -> Option<Bytes> {
         let first = self.splitter.next_event()?;
--- a/net/src/flushed.rs
+++ b/net/src/flushed.rs
@@ -20,33 +20,46 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
+use hyper::rt::ReadBufCursor;
+use limpetferry_lib::caller_connections::Phase;
+use smol_hyper::rt::FuturesIo;
 
+use crate::connections::Connection;
 use crate::http::Body;
 use crate::http::Cut;
 use crate::http::whole;
 use crate::sockets::Stream;
 use crate::timeout::within;
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct State {
     flushed: bool,
+    /// Whether the body of an answer has not ended.
+    answering: bool,
     waker: Option<Waker>,
 }
 
 /// Whether all that a connection was given has been written.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Flushes {
     state: Arc<Mutex<State>>,
     limit: Duration,
+    connection: Arc<Connection>,
 }
 
 impl Flushes {
     /// Makes that of a new connection, whose caller is given `limit` to take what
     /// comes before a break.
-    pub fn new(limit: Duration) -> Self {
+    pub fn new(limit: Duration, connection: Arc<Connection>) -> Self {
+        let state = State {
+            flushed: true,
+            answering: false,
+            waker: None,
+        };
         Self {
-            state: Arc::default(),
+            state: Arc::new(Mutex::new(state)),
             limit,
+            connection,
         }
     }
 
@@ -61,28 +74,41 @@
 
     fn end(&self) {
         let mut state = self.lock();
-        state.flushed = true;
+        let was_flushed = std::mem::replace(&mut state.flushed, true);
         if let Some(waker) = state.waker.take() {
             waker.wake();
         }
+        if !was_flushed && !state.answering {
+            self.connection.enter(Phase::Idle);
+        }
     }
 
-    async fn wait(self) {
-        let flushed = poll_fn(|cx| {
+    /// Waits until all has been written, so that the next request of a caller that does
+    /// not read is not worked on.
+    pub async fn all_written(&self) {
+        poll_fn(|cx| {
             let mut state = self.lock();
             if state.flushed {
                 return Poll::Ready(());
             }
             state.waker = Some(cx.waker().clone());
             Poll::Pending
-        });
-        within(self.limit, flushed).await;
+        })
+        .await;
+    }
+
+    async fn wait(self) {
+        within(self.limit, self.all_written()).await;
     }
 
     /// Makes a body that breaks off only once what came before is written, or
     /// its caller does not take it.
     pub fn before_cut(&self, body: Body) -> Body {
-        self.begin();
+        self.connection.enter(Phase::Answer);
+        let mut state = self.lock();
+        state.flushed = false;
+        state.answering = true;
+        drop(state);
         FlushedBody {
             body,
             flushes: self.clone(),
@@ -111,7 +137,11 @@
         cx: &mut Context<'_>,
         buffer: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_read(cx, buffer)
+        let read = ready!(Pin::new(&mut self.io).poll_read(cx, buffer))?;
+        if read > 0 {
+            self.flushes.connection.received(read);
+        }
+        Poll::Ready(Ok(read))
     }
 }
 
@@ -121,7 +151,9 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write(cx, bytes)
+        let written = ready!(Pin::new(&mut self.io).poll_write(cx, bytes))?;
+        self.flushes.connection.sent();
+        Poll::Ready(Ok(written))
     }
 
     fn poll_write_vectored(
@@ -129,7 +161,9 @@
         cx: &mut Context<'_>,
         buffers: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.io).poll_write_vectored(cx, buffers)
+        let written = ready!(Pin::new(&mut self.io).poll_write_vectored(cx, buffers))?;
+        self.flushes.connection.sent();
+        Poll::Ready(Ok(written))
     }
 
     /// The HTTP library flushes once it has written all that it holds.
@@ -144,6 +178,57 @@
     }
 }
 
+/// A stream as the HTTP library takes it, that writes several buffers at once. Without
+/// that the library copies each body into a buffer that it keeps as long as the connection.
+pub struct VectoredIo(FuturesIo<FlushedStream>);
+
+impl VectoredIo {
+    /// Makes that of a stream.
+    pub fn new(stream: FlushedStream) -> Self {
+        Self(FuturesIo::new(stream))
+    }
+}
+
+impl hyper::rt::Read for VectoredIo {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_read(cx, buffer)
+    }
+}
+
+impl hyper::rt::Write for VectoredIo {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(self.0.get_mut()).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(self.0.get_mut()).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(self.0.get_mut()).poll_close(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffers: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(self.0.get_mut()).poll_write_vectored(cx, buffers)
+    }
+}
+
 type Waiting = Pin<Box<dyn Future<Output = ()> + Send>>;
 
 struct FlushedBody {
@@ -153,6 +238,12 @@
     cut: Option<(Cut, Waiting)>,
 }
 
+impl Drop for FlushedBody {
+    fn drop(&mut self) {
+        self.flushes.lock().answering = false;
+    }
+}
+
 impl hyper::body::Body for FlushedBody {
     type Data = Bytes;
     type Error = Cut;
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -14,7 +14,9 @@
 use limpetferry_lib::call::Program;
 use limpetferry_lib::effect::LogEvent;
 use limpetferry_lib::fingerprint::Fingerprinter;
+use limpetferry_lib::gateway_budget::CONNECTION_BYTES;
 use limpetferry_lib::gateway_budget::GatewayBudget;
+use limpetferry_lib::gateway_budget::GatewayPart;
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::load_shed::LoadShedder;
@@ -30,9 +32,12 @@
 use limpetferry_lib::time::Time;
 
 use crate::allowances::Allowances;
+use crate::answer_room::AnswerRoom;
 use crate::clock::Clock;
+use crate::connections::Connections;
 use crate::dispatch::Dispatch;
 use crate::follow::Follower;
+use crate::gateway_memory::GatewayMemory;
 use crate::gateway_settings::DEFAULT_MEMORY_MB;
 use crate::gateway_settings::GatewaySettings;
 use crate::handoff::Handoffs;
@@ -108,6 +113,12 @@
     pub handoffs: Option<Arc<Handoffs>>,
     /// Bytes of requests that it holds.
     pub held: Held,
+    /// Answers that were not written to callers.
+    pub answers: AnswerRoom,
+    /// Connections of callers.
+    pub connections: Arc<Connections>,
+    /// What is known of its memory.
+    pub memory: Arc<GatewayMemory>,
     /// Identifies requests over attempts.
     pub fingerprinter: Fingerprinter,
     /// Requests that end servers.
@@ -358,6 +369,20 @@
         response
     }
 
+    fn show_memory(&self) {
+        let budget = self.budget();
+        let connections = self.connections.count() as u64 * CONNECTION_BYTES;
+        let parts = [
+            (GatewayPart::Connections, connections),
+            (GatewayPart::Heads, self.connections.head_bytes() as u64),
+            (GatewayPart::Bodies, self.held.bytes() as u64),
+            (GatewayPart::Answers, self.answers.bytes() as u64),
+        ];
+        for (part, used) in parts {
+            self.memory.show(part, used, budget.bytes(part));
+        }
+    }
+
     async fn expire(self: Arc<Self>) {
         let mut round = 0_u32;
         loop {
@@ -369,6 +394,7 @@
             self.note_paces();
             self.look();
             self.show_load();
+            self.show_memory();
             self.show_queues(round);
             self.watch_servers();
             if let Some(handoffs) = &self.handoffs {
@@ -430,6 +456,15 @@
         clock,
     );
     smol::spawn(allowances.clone().follow()).detach();
+    let memory = GatewayMemory::new(&common.node, &meters);
+    let lacking = memory.clone();
+    let budget = settings.budget();
+    let connections = Connections::new(
+        budget.connections,
+        budget.heads as usize,
+        clock,
+        Box::new(move |part| lacking.lack(part)),
+    );
     let loads = LoadReports::new();
     let gateway = Arc::new(Gateway {
         node: common.node.clone(),
@@ -448,6 +483,9 @@
         ),
         handoffs: Handoffs::new(&settings),
         held: Held::default(),
+        answers: AnswerRoom::default(),
+        connections: connections.clone(),
+        memory,
         fingerprinter: common.fingerprinter(),
         quarantine: quarantine.clone(),
         doubts: Mutex::new(StartDoubts::new(clock.now())),
@@ -498,15 +536,16 @@
     .detach();
     let limits = Limits::default();
     let bounds = Bounds {
-        connections: settings.budget().connections,
+        connections: budget.connections,
         head: limits.max_head_bytes,
         // Callers use connections that were idle for up to four fifths of it.
         wait: limits.idle_timeout,
         flush: FLUSH_WAIT,
     };
-    let serving = smol::spawn(http::serve(
+    let serving = smol::spawn(http::serve_counted(
         callers,
         bounds,
+        connections,
         handler(&gateway),
         closed.clone(),
     ));
--- a/net/src/held.rs
+++ b/net/src/held.rs
@@ -1,9 +1,11 @@
-//! A bound on the bytes of requests that are held at once.
+//! A bound on bytes that are held at once.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use bytes::Bytes;
+
 /// Counts the bytes that are held.
 #[derive(Clone, Debug, Default)]
 pub struct Held {
@@ -28,6 +30,14 @@
         (before + bytes <= most).then_some(hold)
     }
 
+    /// Begins to hold, with no bytes.
+    pub fn none(&self) -> Hold {
+        Hold {
+            held: self.clone(),
+            bytes: 0,
+        }
+    }
+
     /// Returns the bytes that are held.
     pub fn bytes(&self) -> usize {
         self.bytes.load(Ordering::Relaxed)
@@ -40,6 +50,12 @@
         self.bytes
     }
 
+    /// Holds nothing any more.
+    pub fn clear(&mut self) {
+        let bytes = std::mem::take(&mut self.bytes);
+        self.held.bytes.fetch_sub(bytes, Ordering::Relaxed);
+    }
+
     /// Holds `bytes` more; changes nothing and returns `false` if all together would be
     /// more than `most`.
     pub fn grow(&mut self, bytes: usize, most: usize) -> bool {
@@ -51,6 +67,23 @@
     }
 }
 
+/// Bytes that count as held until they are dropped.
+struct HeldBytes {
+    bytes: Bytes,
+    _hold: Hold,
+}
+
+impl AsRef<[u8]> for HeldBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
+/// Makes bytes that `hold` counts until the last use of them is dropped.
+pub fn held_bytes(bytes: Bytes, hold: Hold) -> Bytes {
+    Bytes::from_owner(HeldBytes { bytes, _hold: hold })
+}
+
 impl Drop for Hold {
     fn drop(&mut self) {
         self.held.bytes.fetch_sub(self.bytes, Ordering::Relaxed);
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -7,8 +7,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -21,13 +19,18 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
+use limpetferry_lib::caller_connections::Phase;
 use smol::net::TcpListener;
 use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
+use crate::clock::Clock;
+use crate::connections::Connection;
+use crate::connections::Connections;
 use crate::flushed::FlushedStream;
 use crate::flushed::Flushes;
+use crate::flushed::VectoredIo;
 use crate::sockets::HeadLimit;
 use crate::sockets::Stream;
 use crate::timeout::HttpTimer;
@@ -61,6 +64,9 @@
 /// Bytes that may arrive before the head of an answer is whole, interim answers among
 /// them. The last read may bring a part of the body.
 const MAX_ANSWER_HEAD: usize = 1 << 20;
+/// Bytes of an answer that a connection holds before they are handled, and so the longest
+/// head.
+const READ_BUFFER: usize = 32 << 10;
 /// Longest answer that a client reads whole.
 pub const MAX_ANSWER: usize = 64 << 20;
 /// Idle connections kept for each server.
@@ -111,7 +117,19 @@
     handler: Handler,
     stop: async_channel::Receiver<()>,
 ) {
-    let open = Arc::new(AtomicUsize::new(0));
+    let (most, clock) = (bounds.connections, Clock::default());
+    let connections = Connections::new(most, usize::MAX, clock, Box::new(|_| ()));
+    serve_counted(listener, bounds, connections, handler, stop).await;
+}
+
+/// Serves as [`serve`] does, with connections that others can close.
+pub async fn serve_counted(
+    listener: TcpListener,
+    bounds: Bounds,
+    connections: Arc<Connections>,
+    handler: Handler,
+    stop: async_channel::Receiver<()>,
+) {
     loop {
         let accepted = futures_lite::future::or(async { listener.accept().await.ok() }, async {
             let _ = stop.recv().await;
@@ -120,7 +138,7 @@
         let Some((stream, _)) = accepted.await else {
             if stop.is_closed() {
                 drop(listener);
-                while open.load(Ordering::Relaxed) > 0 {
+                while connections.count() > 0 {
                     smol::Timer::after(END_LOOK).await;
                 }
                 return;
@@ -129,33 +147,37 @@
             smol::Timer::after(Duration::from_millis(10)).await;
             continue;
         };
-        if open.load(Ordering::Relaxed) >= bounds.connections {
+        let stream = Stream::new(stream);
+        let Some(guard) = connections.add(stream.socket()).await else {
             // Closing at once tells the client that nothing was read.
             continue;
-        }
-        open.fetch_add(1, Ordering::Relaxed);
-        let (open, handler, stop) = (open.clone(), handler.clone(), stop.clone());
+        };
+        let (handler, stop) = (handler.clone(), stop.clone());
         smol::spawn(async move {
-            serve_connection(stream, bounds, handler, stop).await;
-            open.fetch_sub(1, Ordering::Relaxed);
+            serve_connection(stream, guard.connection(), bounds, handler, stop).await;
+            drop(guard);
         })
         .detach();
     }
 }
 
 async fn serve_connection(
-    stream: TcpStream,
+    stream: Stream,
+    caller: Arc<Connection>,
     bounds: Bounds,
     handler: Handler,
     stop: async_channel::Receiver<()>,
 ) {
-    let _ = stream.set_nodelay(true);
-    let flushes = Flushes::new(bounds.flush);
-    let stream = FlushedStream::new(Stream::new(stream), flushes.clone());
-    let service = hyper::service::service_fn(move |request| {
-        let (answering, flushes) = (handler(request), flushes.clone());
+    let _ = stream.socket().get_ref().set_nodelay(true);
+    let flushes = Flushes::new(bounds.flush, caller.clone());
+    let stream = FlushedStream::new(stream, flushes.clone());
+    let service = hyper::service::service_fn(move |mut request: Request<Incoming>| {
+        let (handler, flushes, caller) = (handler.clone(), flushes.clone(), caller.clone());
         async move {
-            let answer = answering.await;
+            flushes.all_written().await;
+            caller.enter(Phase::Work);
+            request.extensions_mut().insert(caller);
+            let answer = handler(request).await;
             Ok::<_, Infallible>(answer.map(|body| flushes.before_cut(body)))
         }
     });
@@ -165,7 +187,7 @@
         .max_headers(MAX_HEADERS)
         .max_buf_size(bounds.head.max(8192))
         .half_close(false)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(VectoredIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let stopped = async {
         let _ = stop.recv().await;
@@ -307,7 +329,9 @@
     crate::sockets::watch_silence(&stream).map_err(|_| refuse())?;
     let head = HeadLimit::default();
     let stream = Stream::with_head_limit(stream, head.clone());
-    let (requests, connection) = hyper::client::conn::http1::handshake(FuturesIo::new(stream))
+    let (requests, connection) = hyper::client::conn::http1::Builder::new()
+        .max_buf_size(READ_BUFFER)
+        .handshake(FuturesIo::new(stream))
         .await
         .map_err(|_| refuse())?;
     smol::spawn(async move {
--- a/net/src/intake.rs
+++ b/net/src/intake.rs
@@ -10,7 +10,10 @@
 use http::StatusCode;
 use http::request::Parts;
 use http_body_util::BodyExt as _;
+use hyper::body::SizeHint;
 use limpetferry_lib::call::Call;
+use limpetferry_lib::caller_connections::retry_after;
+use limpetferry_lib::gateway_budget::GatewayPart;
 use limpetferry_lib::overload::ProgramRefusal;
 use limpetferry_lib::overload::TurnArrival;
 use limpetferry_lib::routing::Kind;
@@ -25,7 +28,6 @@
 use crate::gateway::Gateway;
 use crate::held::Hold;
 use crate::http::BodyError;
-use crate::refusal::RETRY_FULL;
 use crate::refusal::RETRY_UNKNOWN;
 use crate::refusal::Refusal;
 use crate::refusal::too_long;
@@ -33,6 +35,10 @@
 /// Bytes held for a body that does not say its length, some of the sheets'
 /// largest prompts.
 const USUAL_BODY: usize = 16 << 10;
+/// Tries to make room for a body by closing callers that do not send theirs.
+const ROOM_TRIES: usize = 4;
+/// Pause until a connection that is closed has given its memory back.
+const ROOM_PAUSE: Duration = Duration::from_millis(5);
 
 /// Where a request goes.
 pub struct Target {
@@ -214,22 +220,38 @@
     patience.map_or(route.timeout, |wait| wait.min(route.timeout))
 }
 
-/// Makes room for a body of `size` bytes, as far as it says its length.
+/// Makes room for a body of this size, as far as it says its length. Closes callers that
+/// do not send theirs.
 ///
 /// # Errors
 ///
 /// Returns the refusal of a body that is too long, or for which there is no room.
-pub fn make_room(gateway: &Gateway, routing: &Routing, size: usize) -> Result<Hold, Refusal> {
-    if size > routing.limits.max_body_bytes {
+pub async fn make_room(
+    gateway: &Gateway,
+    routing: &Routing,
+    size: &SizeHint,
+) -> Result<Hold, Refusal> {
+    // A body without a length is taken for a usual one until it is here.
+    let bytes = size.exact().map_or(USUAL_BODY, |size| size as usize);
+    if size.lower() > routing.limits.max_body_bytes as u64 {
         return Err(too_long());
     }
-    // A body without a length is taken for a usual one until it is here.
-    let hold = gateway.held.hold(size.max(USUAL_BODY), gateway.most_held());
-    hold.ok_or_else(no_room)
+    for _ in 0..ROOM_TRIES {
+        if let Some(hold) = gateway.held.hold(bytes, gateway.most_held()) {
+            return Ok(hold);
+        }
+        gateway.memory.lack(GatewayPart::Bodies);
+        if !gateway.connections.close_one(GatewayPart::Bodies) {
+            break;
+        }
+        smol::Timer::after(ROOM_PAUSE).await;
+    }
+    Err(no_room())
 }
 
 fn no_room() -> Refusal {
-    Refusal::later(RETRY_FULL, "too many requests are held here; come back")
+    let after = retry_after(GatewayPart::Bodies);
+    Refusal::later(after, "too many requests are held here; come back")
 }
 
 /// Reads a body of at most `limit` bytes, of which `hold` counts what has come.
@@ -247,7 +269,7 @@
 where
     B: hyper::body::Body<Data = Bytes> + Unpin,
 {
-    let mut read = BytesMut::new();
+    let mut read = BytesMut::with_capacity(body.size_hint().lower().min(limit as u64) as usize);
     while let Some(frame) = body.frame().await {
         let broken = |_| Refusal::new(StatusCode::BAD_REQUEST, BodyError::Broken.to_string());
         let Ok(bytes) = frame.map_err(broken)?.into_data() else {
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -2,6 +2,7 @@
 //! bytes become events, and effects become bytes. Nothing is decided here.
 
 pub mod allowances;
+pub mod answer_room;
 pub mod answers;
 pub mod attempt;
 pub mod backend;
@@ -10,6 +11,7 @@
 pub mod clearance;
 pub mod clock;
 mod compaction;
+pub mod connections;
 pub mod copies;
 pub mod disk;
 pub mod dispatch;
@@ -19,6 +21,7 @@
 pub mod follow;
 pub mod frames;
 pub mod gateway;
+pub mod gateway_memory;
 pub mod gateway_settings;
 pub mod handoff;
 pub mod handoff_links;
--- a/net/src/meters.rs
+++ b/net/src/meters.rs
@@ -131,6 +131,10 @@
     pub load_age: IntGauge,
     /// Utilization of the service that is loaded most, in percent.
     pub utilization: IntGauge,
+    /// Memory by part of the budget, in bytes.
+    pub memory: IntGaugeVec,
+    /// Times that a part of the memory was used up.
+    pub memory_lacks: IntCounterVec,
 }
 
 impl GatewayMeters {
@@ -222,6 +226,12 @@
                 "utilization_percent",
                 "Utilization of the service loaded most, -1: not known",
             )?,
+            memory: make.gauges("memory_bytes", "Memory by part of the budget", "part")?,
+            memory_lacks: make.counters(
+                "memory_lacks_total",
+                "Times that a part of the memory was used up",
+                "part",
+            )?,
             registry: make.registry,
         })
     }
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -17,6 +17,7 @@
 use http_body_util::BodyExt as _;
 use hyper::body::Incoming;
 use limpetferry_lib::call::Call;
+use limpetferry_lib::caller_connections::Phase;
 use limpetferry_lib::fingerprint::RequestFingerprint;
 use limpetferry_lib::ledger::Begin;
 use limpetferry_lib::routing::Kind;
@@ -30,6 +31,7 @@
 
 use crate::allowances::Charge;
 use crate::attempt::Progress;
+use crate::connections::Connection;
 use crate::flow::Flow;
 use crate::gateway::Gateway;
 use crate::handoff;
@@ -37,6 +39,7 @@
 use crate::handoff::Served;
 use crate::handoff_wire::Hop;
 use crate::held::Hold;
+use crate::held::held_bytes;
 use crate::http::Body;
 use crate::http::whole;
 use crate::identity::RequestIdentity;
@@ -56,11 +59,6 @@
 use crate::turns::TurnNote;
 use crate::turns::TurnRefusal;
 
-/// Part of the bytes that a gateway holds which one answer may have, as a divisor.
-const ANSWER_SHARE: usize = 4;
-/// Pause before an answer is read on that has to wait until others are handed over.
-const HOLD_PAUSE: Duration = Duration::from_millis(5);
-
 /// A request that was read, with all that is needed to send it.
 pub struct Job {
     /// The gateway that took it.
@@ -182,12 +180,19 @@
     }
     let charge = intake::charge(gateway, &caller, &call).await?;
     intake::admit(gateway, &target, &caller, &call, patience)?;
-    let mut hold = intake::make_room(gateway, &target.routing, size as usize)?;
+    let mut hold = intake::make_room(gateway, &target.routing, &body.size_hint()).await?;
     let served = gateway.serve(&target.route, start);
     let left = limit.since(gateway.clock.now());
     let limit_bytes = target.routing.limits.max_body_bytes;
+    let connection = head.extensions.get::<Arc<Connection>>().cloned();
+    let enter = |phase| connection.iter().for_each(|caller| caller.enter(phase));
+    if !body.is_end_stream() {
+        enter(Phase::Body);
+    }
     let read = intake::read_held(gateway, &mut body, limit_bytes, &mut hold);
-    let Some(read) = within(left, read).await else {
+    let read = within(left, read).await;
+    enter(Phase::Work);
+    let Some(read) = read else {
         return Err(Refusal::new(
             StatusCode::REQUEST_TIMEOUT,
             "the body did not come in time; send it faster",
@@ -470,24 +475,29 @@
     /// Reads the body of an answer within the bytes that the gateway may hold, and waits
     /// while others have them.
     async fn read_answer(&self, body: &mut Incoming) -> Result<Bytes, Failure> {
-        let most = self.gateway.most_held();
-        let hold = self.gateway.held.hold(0, usize::MAX);
-        let mut hold = hold.ok_or(Failure::Late)?;
-        let mut read = BytesMut::new();
+        let gateway = &self.gateway;
+        let most = gateway.budget().answer() as usize;
+        let too_long = || Failure::Unknown("an answer is too long to be held".into());
+        let size = hyper::body::Body::size_hint(body).lower() as usize;
+        if size > most {
+            return Err(too_long());
+        }
+        let mut hold = gateway.answers.hold();
+        gateway.answers.wait(gateway, &mut hold, size).await;
+        let mut read = BytesMut::with_capacity(size);
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(|error| Failure::Broken(error.to_string()))?;
             let Some(bytes) = frame.data_ref() else {
                 continue;
             };
-            if read.len() + bytes.len() > most / ANSWER_SHARE {
-                return Err(Failure::Unknown("an answer is too long to be held".into()));
-            }
-            while !hold.grow(bytes.len(), most) {
-                smol::Timer::after(HOLD_PAUSE).await;
+            let size = read.len() + bytes.len();
+            if size > most {
+                return Err(too_long());
             }
+            gateway.answers.wait(gateway, &mut hold, size).await;
             read.extend_from_slice(bytes);
         }
-        Ok(read.freeze())
+        Ok(held_bytes(read.freeze(), hold))
     }
 
     /// Notes the time to the first event of a stream.
--- a/net/src/sockets.rs
+++ b/net/src/sockets.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Returns the socket.
+    pub fn socket(&self) -> Arc<Async<std::net::TcpStream>> {
+        self.io.clone()
+    }
+
     /// Makes a stream of a connection to a server, on which `head` bounds the heads of
     /// answers.
     pub fn with_head_limit(stream: TcpStream, head: HeadLimit) -> Self {
--- a/testutils/src/lib.rs
+++ b/testutils/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod process;
 pub mod service;
 pub mod site;
+pub mod sized;
 pub mod soak;
 mod soak_caller;
 mod soak_fatal;
