--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -15,7 +15,9 @@
 use limpetferry_lib::call::Program;
 use limpetferry_lib::effect::LogEvent;
 use limpetferry_lib::fingerprint::Fingerprinter;
+use limpetferry_lib::gateway_budget::CONNECTION_BYTES;
 use limpetferry_lib::gateway_budget::GatewayBudget;
+use limpetferry_lib::gateway_budget::GatewayPart;
 use limpetferry_lib::id::Boot;
 use limpetferry_lib::id::NodeId;
 use limpetferry_lib::load_shed::LoadShedder;
@@ -33,10 +35,13 @@
 use crate::addresses::Listeners;
 use crate::addresses::Need;
 use crate::allowances::Allowances;
+use crate::answer_room::AnswerRoom;
 use crate::clock::Clock;
+use crate::connections::Connections;
 use crate::dispatch::Dispatch;
 use crate::essential::Essential;
 use crate::follow::Follower;
+use crate::gateway_memory::GatewayMemory;
 use crate::gateway_settings::DEFAULT_MEMORY_MB;
 use crate::gateway_settings::GatewaySettings;
 use crate::handoff::Handoffs;
@@ -72,8 +77,6 @@
 
 mod notes;
 
-/// Part of the bytes that a gateway holds which incomplete events may have, as a divisor.
-const ARRIVING_SHARE: usize = 4;
 /// Time between looks for connections that were idle for too long, and for
 /// the keepers within reach.
 const EXPIRE_EVERY: Duration = Duration::from_millis(250);
@@ -116,6 +119,12 @@
     pub held: Held,
     /// Bytes of incomplete events that it holds.
     pub arriving: Held,
+    /// Answers that were not written to callers.
+    pub answers: AnswerRoom,
+    /// Connections of callers.
+    pub connections: Arc<Connections>,
+    /// What is known of its memory.
+    pub memory: Arc<GatewayMemory>,
     /// Identifies requests over attempts.
     pub fingerprinter: Fingerprinter,
     /// Requests that end servers.
@@ -148,7 +157,7 @@
 
     /// Returns the most bytes of incomplete events that it holds at once.
     pub fn most_arriving(&self) -> usize {
-        self.most_held() / ARRIVING_SHARE
+        self.budget().arriving as usize
     }
 
     /// Returns the most bytes that a stream may have whose output is kept.
@@ -373,6 +382,20 @@
         response
     }
 
+    fn show_memory(&self) {
+        let budget = self.budget();
+        let connections = self.connections.count() as u64 * CONNECTION_BYTES;
+        let parts = [
+            (GatewayPart::Connections, connections),
+            (GatewayPart::Heads, self.connections.head_bytes() as u64),
+            (GatewayPart::Bodies, self.held.bytes() as u64),
+            (GatewayPart::Answers, self.answers.bytes() as u64),
+        ];
+        for (part, used) in parts {
+            self.memory.show(part, used, budget.bytes(part));
+        }
+    }
+
     async fn expire(self: Arc<Self>) {
         let mut round = 0_u32;
         loop {
@@ -384,6 +407,7 @@
             self.note_paces();
             self.look();
             self.show_load();
+            self.show_memory();
             self.show_queues(round);
             self.watch_servers();
             if let Some(handoffs) = &self.handoffs {
@@ -442,6 +466,15 @@
         common.faults,
         clock,
     );
+    let memory = GatewayMemory::new(&common.node, &meters);
+    let lacking = memory.clone();
+    let budget = settings.budget();
+    let connections = Connections::new(
+        budget.connections,
+        budget.heads as usize,
+        clock,
+        Box::new(move |part| lacking.lack(part)),
+    );
     let loads = LoadReports::new();
     let gateway = Arc::new(Gateway {
         node: common.node.clone(),
@@ -461,6 +494,9 @@
         handoffs: Handoffs::new(&settings),
         held: Held::default(),
         arriving: Held::default(),
+        answers: AnswerRoom::default(),
+        connections: connections.clone(),
+        memory,
         fingerprinter: common.fingerprinter(),
         quarantine: quarantine.clone(),
         doubts: Mutex::new(StartDoubts::new(clock.now())),
@@ -516,14 +552,14 @@
     });
     let limits = Limits::default();
     let bounds = Bounds {
-        connections: settings.budget().connections,
+        connections: budget.connections,
         head: limits.max_head_bytes,
         // Callers use connections that were idle for up to four fifths of it.
         wait: limits.idle_timeout,
         flush: FLUSH_WAIT,
     };
     let (served, serving) = async_channel::bounded::<()>(1);
-    let callers = http::serve(callers, bounds, handler(&gateway), closed);
+    let callers = http::serve_counted(callers, bounds, connections, handler(&gateway), closed);
     essential.spawn("callers", async move {
         callers.await;
         drop(served);
--- a/net/src/http.rs
+++ b/net/src/http.rs
@@ -8,8 +8,6 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::Mutex;
-use std::sync::atomic::AtomicUsize;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -22,13 +20,17 @@
 use hyper::body::Incoming;
 use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1::SendRequest;
+use limpetferry_lib::caller_connections::Phase;
 use smol::net::TcpListener;
-use smol::net::TcpStream;
 use smol_hyper::rt::FuturesIo;
 use thiserror::Error;
 
+use crate::clock::Clock;
+use crate::connections::Connection;
+use crate::connections::Connections;
 use crate::flushed::FlushedStream;
 use crate::flushed::Flushes;
+use crate::flushed::VectoredIo;
 use crate::sockets;
 use crate::sockets::HeadLimit;
 use crate::sockets::Stream;
@@ -116,7 +118,19 @@
     handler: Handler,
     stop: async_channel::Receiver<()>,
 ) {
-    let open = Arc::new(AtomicUsize::new(0));
+    let (most, clock) = (bounds.connections, Clock::default());
+    let connections = Connections::new(most, usize::MAX, clock, Box::new(|_| ()));
+    serve_counted(listener, bounds, connections, handler, stop).await;
+}
+
+/// Serves as [`serve`] does, with connections that others can close.
+pub async fn serve_counted(
+    listener: TcpListener,
+    bounds: Bounds,
+    connections: Arc<Connections>,
+    handler: Handler,
+    stop: async_channel::Receiver<()>,
+) {
     loop {
         let accepted = futures_lite::future::or(async { listener.accept().await.ok() }, async {
             let _ = stop.recv().await;
@@ -125,7 +139,7 @@
         let Some((stream, _)) = accepted.await else {
             if stop.is_closed() {
                 drop(listener);
-                while open.load(Ordering::Relaxed) > 0 {
+                while connections.count() > 0 {
                     smol::Timer::after(END_LOOK).await;
                 }
                 return;
@@ -134,50 +148,37 @@
             smol::Timer::after(Duration::from_millis(10)).await;
             continue;
         };
-        if open.load(Ordering::Relaxed) >= bounds.connections {
+        let stream = Stream::new(stream);
+        let Some(guard) = connections.add(stream.socket()).await else {
             // Closing at once tells the client that nothing was read.
             continue;
-        }
-        let connection = OpenConnection::new(&open);
+        };
         let (handler, stop) = (handler.clone(), stop.clone());
         smol::spawn(async move {
-            let _connection = connection;
-            serve_connection(stream, bounds, handler, stop).await;
+            serve_connection(stream, guard.connection(), bounds, handler, stop).await;
+            drop(guard);
         })
         .detach();
     }
 }
 
-/// One of a listener's open connections. It is counted until this is dropped, so also
-/// if its task panics.
-struct OpenConnection(Arc<AtomicUsize>);
-
-impl OpenConnection {
-    fn new(open: &Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::Relaxed);
-        Self(open.clone())
-    }
-}
-
-impl Drop for OpenConnection {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::Relaxed);
-    }
-}
-
 async fn serve_connection(
-    stream: TcpStream,
+    stream: Stream,
+    caller: Arc<Connection>,
     bounds: Bounds,
     handler: Handler,
     stop: async_channel::Receiver<()>,
 ) {
-    let _ = stream.set_nodelay(true);
-    let flushes = Flushes::new(bounds.flush);
-    let stream = FlushedStream::new(Stream::new(stream), flushes.clone());
-    let service = hyper::service::service_fn(move |request| {
-        let (answering, flushes) = (handler(request), flushes.clone());
+    let _ = stream.socket().get_ref().set_nodelay(true);
+    let flushes = Flushes::new(bounds.flush, caller.clone());
+    let stream = FlushedStream::new(stream, flushes.clone());
+    let service = hyper::service::service_fn(move |mut request: Request<Incoming>| {
+        let (handler, flushes, caller) = (handler.clone(), flushes.clone(), caller.clone());
         async move {
-            let answer = answering.await;
+            flushes.all_written().await;
+            caller.enter(Phase::Work);
+            request.extensions_mut().insert(caller);
+            let answer = handler(request).await;
             Ok::<_, Infallible>(answer.map(|body| flushes.before_cut(body)))
         }
     });
@@ -187,7 +188,7 @@
         .max_headers(MAX_HEADERS)
         .max_buf_size(bounds.head.max(8192))
         .half_close(false)
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(VectoredIo::new(stream), service);
     let mut connection = std::pin::pin!(connection);
     let stopped = async {
         let _ = stop.recv().await;
--- a/net/src/lib.rs
+++ b/net/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod addresses;
 pub mod allowances;
+pub mod answer_room;
 pub mod answers;
 pub mod attempt;
 pub mod backend;
@@ -11,6 +12,7 @@
 pub mod clearance;
 pub mod clock;
 mod compaction;
+pub mod connections;
 pub mod copies;
 pub mod data_folder;
 mod descriptors;
@@ -23,6 +25,7 @@
 pub mod follow;
 pub mod frames;
 pub mod gateway;
+pub mod gateway_memory;
 pub mod gateway_settings;
 pub mod handoff;
 pub mod handoff_links;
