gateway: kept histories have a part of its memory, and prompts count

What operators would see: a gateway of a small VM that is killed for its memory although callers' parts are bounded.

Now histories have a tenth of the memory, 16 MB at most, and a prompt counts as the body of its request; without room for it the turn is refused with 503 and a time to come back before a server is asked, and its reservation is released.

No run shows the kill itself.

--- a/lib/src/caller_connections.rs
+++ b/lib/src/caller_connections.rs
@@ -7,7 +7,7 @@
 
 /// Idle time after which a connection may be closed for a new one. Callers that use a
 /// connection again do so sooner, and see its close as a broken request.
-const MIN_IDLE: Duration = Duration::from_millis(250);
+const MIN_IDLE: Duration = Duration::from_millis(150);
 /// Time without a byte after which a caller counts as one that does not send or read.
 const MIN_STALL: Duration = Duration::from_millis(500);
 /// Shortest wait of a caller that is refused until a stalled one is closed.
@@ -59,7 +59,9 @@
 pub fn retry_after(part: GatewayPart) -> Duration {
     match part {
         GatewayPart::Bodies | GatewayPart::Answers | GatewayPart::Connections => RETRY,
-        GatewayPart::Heads | GatewayPart::Arriving | GatewayPart::Logs => RETRY / 2,
+        GatewayPart::Heads | GatewayPart::Arriving | GatewayPart::Histories | GatewayPart::Logs => {
+            RETRY / 2
+        }
     }
 }
 
--- a/lib/src/gateway_budget.rs
+++ b/lib/src/gateway_budget.rs
@@ -13,6 +13,11 @@
 /// Part of the memory for bytes that have arrived from servers, keepers, other gateways
 /// and the platform's store and were not handled.
 const ARRIVING_SHARE: f64 = 0.08;
+/// Part of the memory for histories of programs that are kept for their next turns.
+const HISTORY_SHARE: f64 = 0.10;
+/// Most memory for these histories, in bytes: some 600 programs, which last some four
+/// seconds each.
+const MAX_HISTORIES: u64 = 16 << 20;
 /// Part of the memory for log lines that are not written.
 const LOG_SHARE: f64 = 0.02;
 /// Memory of one connection with a request under way and the connection to its server, in
@@ -36,18 +41,21 @@
     Answers,
     /// Bytes from servers, keepers, other gateways and the platform's store.
     Arriving,
+    /// Histories of programs that are kept for their next turns.
+    Histories,
     /// Log lines that are not written.
     Logs,
 }
 
 impl GatewayPart {
     /// All parts.
-    pub const ALL: [Self; 6] = [
+    pub const ALL: [Self; 7] = [
         Self::Connections,
         Self::Heads,
         Self::Bodies,
         Self::Answers,
         Self::Arriving,
+        Self::Histories,
         Self::Logs,
     ];
 
@@ -59,6 +67,7 @@
             Self::Bodies => "bodies",
             Self::Answers => "answers",
             Self::Arriving => "arriving",
+            Self::Histories => "histories",
             Self::Logs => "logs",
         }
     }
@@ -66,7 +75,7 @@
     /// Returns what remedies a lack of it.
     pub fn remedy(self) -> &'static str {
         match self {
-            Self::Connections | Self::Bodies => "raise memory_mb or add gateways",
+            Self::Connections | Self::Bodies | Self::Histories => "raise memory_mb or add gateways",
             Self::Heads => "find the callers that send heads slowly",
             Self::Answers => "find the callers that do not read their answers",
             Self::Arriving => "find the server that sends long answers or add gateways",
@@ -88,6 +97,8 @@
     pub answers: u64,
     /// Memory for bytes from servers, keepers, other gateways and the platform's store.
     pub arriving: u64,
+    /// Memory for histories of programs that are kept for their next turns.
+    pub histories: u64,
     /// Memory for log lines that are not written.
     pub logs: u64,
 }
@@ -101,6 +112,7 @@
             bodies: part(memory, BODY_SHARE),
             answers: part(memory, ANSWER_SHARE),
             arriving: part(memory, ARRIVING_SHARE),
+            histories: part(memory, HISTORY_SHARE).min(MAX_HISTORIES),
             logs: part(memory, LOG_SHARE),
         }
     }
@@ -121,6 +133,7 @@
             GatewayPart::Bodies => self.bodies,
             GatewayPart::Answers => self.answers,
             GatewayPart::Arriving => self.arriving,
+            GatewayPart::Histories => self.histories,
             GatewayPart::Logs => self.logs,
         }
     }
--- a/net/src/gateway.rs
+++ b/net/src/gateway.rs
@@ -454,7 +454,14 @@
         faults: common.faults,
         clock,
     };
-    let turns = Turns::new(site.clone(), replicas.clone(), common.faults, clock);
+    let budget = settings.budget();
+    let turns = Turns::new(
+        site.clone(),
+        replicas.clone(),
+        common.faults,
+        clock,
+        budget.histories,
+    );
     let meters = GatewayMeters::new()?;
     let probes = meters.probes.clone();
     let quarantine = Quarantine::new(&common.node, clock, turns.clone(), probes);
@@ -468,7 +475,6 @@
     );
     let memory = GatewayMemory::new(&common.node, &meters);
     let lacking = memory.clone();
-    let budget = settings.budget();
     let connections = Connections::new(
         budget.connections,
         budget.heads as usize,
--- a/net/src/intake.rs
+++ b/net/src/intake.rs
@@ -249,7 +249,9 @@
     Err(no_room())
 }
 
-fn no_room() -> Refusal {
+/// Returns the refusal of a request whose body, or the history before it, there is no room
+/// for.
+pub fn no_room() -> Refusal {
     let after = retry_after(GatewayPart::Bodies);
     Refusal::later(after, "too many requests are held here; come back")
 }
--- a/net/src/relay.rs
+++ b/net/src/relay.rs
@@ -19,6 +19,7 @@
 use limpetferry_lib::call::Call;
 use limpetferry_lib::caller_connections::Phase;
 use limpetferry_lib::fingerprint::RequestFingerprint;
+use limpetferry_lib::gateway_budget::GatewayPart;
 use limpetferry_lib::ledger::Begin;
 use limpetferry_lib::routing::Kind;
 use limpetferry_lib::routing::Route;
@@ -341,6 +342,11 @@
         known.fleet.apply_places(self.now(), &open.places);
         drop(known);
         if kept {
+            let history = open.prompt.len().saturating_sub(self.hold.bytes());
+            if !self.hold.grow(history, self.gateway.most_held()) {
+                self.gateway.memory.lack(GatewayPart::Bodies);
+                return Err(intake::no_room());
+            }
             let moved = handoff::moved(self.body.len(), open.prompt.len());
             self.gateway.observe_link_bytes(moved);
             self.body = open.prompt.clone();
--- a/net/src/turns.rs
+++ b/net/src/turns.rs
@@ -52,9 +52,6 @@
 /// How often the end of a turn is sent to its keepers, each time until they have not
 /// answered for some seconds.
 const MAX_END_TRIES: usize = 4;
-/// Text of turns remembered in a gateway, in bytes: some 600 programs of the
-/// sheets' size, which last some four seconds each.
-const CHAIN_BYTES: usize = 16 << 20;
 
 /// Says why a turn cannot begin.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -268,14 +265,21 @@
 }
 
 impl Turns {
-    /// Makes what opens turns, where `faults` keepers may be lost at once.
-    pub fn new(site: Arc<Site>, replicas: Arc<Replicas>, faults: usize, clock: Clock) -> Arc<Self> {
+    /// Makes what opens turns, where `faults` keepers may be lost at once. It keeps at most
+    /// `max_histories` bytes of histories.
+    pub fn new(
+        site: Arc<Site>,
+        replicas: Arc<Replicas>,
+        faults: usize,
+        clock: Clock,
+        max_histories: u64,
+    ) -> Arc<Self> {
         Arc::new(Self {
             site,
             replicas,
             faults,
             clock,
-            chains: Mutex::new(ChainCache::new(CHAIN_BYTES)),
+            chains: Mutex::new(ChainCache::new(max_histories as usize)),
         })
     }
 
