connections: a caller that has taken all that came is no slow reader

What callers would see: a stream that is cut in its middle while its caller reads at once. When a gateway's connections or answers were used up, the connection that had been in the phase Answer for 500 ms without a byte was closed; a stream whose server pauses for so long (a preempted request, a slow engine) was one of these. Found by reading the merged code.

Cause: the phase was set at the head and lasted to the end of the body, whether bytes waited for the caller or the caller for bytes.

Now an answer is in that phase only while bytes of it are not written; a stream that waits for its server is at work, as it was before its head, and is never closed for others. A connection is idle once its answer is over, also if nothing was left to write.

--- a/net/src/flushed.rs
+++ b/net/src/flushed.rs
@@ -69,7 +69,10 @@
 
     /// Notes that there is more to be written.
     fn begin(&self) {
-        self.lock().flushed = false;
+        let was_flushed = std::mem::replace(&mut self.lock().flushed, false);
+        if was_flushed {
+            self.connection.enter(Phase::Answer);
+        }
     }
 
     fn end(&self) {
@@ -78,7 +81,22 @@
         if let Some(waker) = state.waker.take() {
             waker.wake();
         }
-        if !was_flushed && !state.answering {
+        if was_flushed {
+            return;
+        }
+        // A caller that has taken all that came waits for the server, as before its head.
+        self.connection.enter(if state.answering {
+            Phase::Work
+        } else {
+            Phase::Idle
+        });
+    }
+
+    /// Notes that the body of an answer has ended, or will not be written.
+    fn end_answer(&self) {
+        let mut state = self.lock();
+        state.answering = false;
+        if state.flushed {
             self.connection.enter(Phase::Idle);
         }
     }
@@ -240,7 +258,7 @@
 
 impl Drop for FlushedBody {
     fn drop(&mut self) {
-        self.flushes.lock().answering = false;
+        self.flushes.end_answer();
     }
 }
 
