--- a/net/tests/many_endless.rs
+++ b/net/tests/many_endless.rs
@@ -5,6 +5,7 @@
 
 use futures_util::future::join;
 use futures_util::future::join_all;
+use limpetferry_net::gateway_settings::GatewaySettings;
 use limpetferry_testutils::endless;
 use limpetferry_testutils::endless::Endless;
 use limpetferry_testutils::platform_site::Answer;
@@ -20,8 +21,9 @@
 /// Callers of the sound service, and the requests of each.
 const CALLERS: usize = 4;
 const REQUESTS: usize = 15;
-/// Half of the memory of a gateway of the smallest deployments, in bytes: the other half
-/// is for callers.
+/// Memory of a gateway of the smallest deployments, in megabytes.
+const GATEWAY_MB: u64 = 88;
+/// Half of it, in bytes: the other half is for callers.
 const SERVERS_MEMORY: u64 = 44 << 20;
 /// Path of a plain request, and that of a stream, at servers that send without end.
 const PLAIN: &str = "/bad/1";
@@ -41,7 +43,9 @@
 
 /// Starts a site with a service all of whose servers send without end.
 async fn site(kind: Endless) -> Arc<PlatformSite> {
-    let site = PlatformSite::start(1, 3, 1).await;
+    let mut site = PlatformSite::start(1, 3, 1).await;
+    let limit = |settings: &mut GatewaySettings| settings.memory_mb = Some(GATEWAY_MB);
+    site.change_gateway(0, limit).await;
     let mut document = routing(2);
     push(&mut document, "Routes", route("bad", "idempotent"));
     push(&mut document, "Routes", route("badstream", "streaming"));
