--- a/net/tests/connections.rs
+++ b/net/tests/connections.rs
@@ -51,23 +51,23 @@
     true
 }
 
-async fn wait_past(clock: Clock, since: Time) {
-    while clock.now().since(since) < SERVER_PAUSE {
-        smol::Timer::after(POLL_INTERVAL).await;
-    }
+/// A listener, and a caller that has read the first event of its stream.
+struct Site {
+    clock: Clock,
+    connections: Arc<Connections>,
+    caller: TcpStream,
+    say: async_channel::Sender<&'static str>,
+    _stop: async_channel::Sender<()>,
 }
 
-// Guards against streams that are cut for lack of memory, as their server pauses between two
-// events while their callers have read all that came.
-#[test]
-fn a_stream_whose_server_pauses_is_not_closed_for_others() {
-    smol::block_on(async {
+impl Site {
+    async fn start() -> Self {
         let clock = Clock::default();
         let connections = Connections::new(2, usize::MAX, clock, Box::new(|_| ()));
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
         let address = listener.local_addr().expect("an address");
         let (say, events) = async_channel::unbounded();
-        let (_stop, stopped) = async_channel::bounded(1);
+        let (stop, stopped) = async_channel::bounded(1);
         let serving = serve_counted(
             listener,
             Bounds::SMALL,
@@ -80,14 +80,36 @@
         caller.write_all(REQUEST).await.expect("it reads");
         say.send("first").await.expect("the stream is read");
         assert!(read_until(&mut caller, "first").await);
+        Self {
+            clock,
+            connections,
+            caller,
+            say,
+            _stop: stop,
+        }
+    }
+
+    async fn wait_past(&self, since: Time) {
+        while self.clock.now().since(since) < SERVER_PAUSE {
+            smol::Timer::after(POLL_INTERVAL).await;
+        }
+    }
+}
+
+// Guards against streams that are cut for lack of memory, as their server pauses between two
+// events while their callers have read all that came.
+#[test]
+fn a_stream_whose_server_pauses_is_not_closed_for_others() {
+    smol::block_on(async {
+        let mut site = Site::start().await;
 
-        wait_past(clock, clock.now()).await;
+        site.wait_past(site.clock.now()).await;
         let closed = [GatewayPart::Answers, GatewayPart::Connections]
-            .map(|part| connections.close_one(part));
-        say.send("second").await.expect("the stream is read");
+            .map(|part| site.connections.close_one(part));
+        site.say.send("second").await.expect("the stream is read");
 
         assert_eq!(closed, [false, false]);
-        assert!(read_until(&mut caller, "second").await);
+        assert!(read_until(&mut site.caller, "second").await);
     });
 }
 
@@ -95,29 +117,12 @@
 #[test]
 fn a_connection_is_idle_once_its_answer_is_over() {
     smol::block_on(async {
-        let clock = Clock::default();
-        let connections = Connections::new(2, usize::MAX, clock, Box::new(|_| ()));
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
-        let address = listener.local_addr().expect("an address");
-        let (say, events) = async_channel::unbounded();
-        let (_stop, stopped) = async_channel::bounded(1);
-        let serving = serve_counted(
-            listener,
-            Bounds::SMALL,
-            connections.clone(),
-            handler(events),
-            stopped,
-        );
-        smol::spawn(serving).detach();
-        let mut caller = TcpStream::connect(address).await.expect("it listens");
-        caller.write_all(REQUEST).await.expect("it reads");
-        say.send("first").await.expect("the stream is read");
-        assert!(read_until(&mut caller, "first").await);
-        say.close();
-        assert!(read_until(&mut caller, "0\r\n\r\n").await);
+        let mut site = Site::start().await;
+        site.say.close();
+        assert!(read_until(&mut site.caller, "0\r\n\r\n").await);
 
-        wait_past(clock, clock.now()).await;
+        site.wait_past(site.clock.now()).await;
 
-        assert!(connections.close_one(GatewayPart::Connections));
+        assert!(site.connections.close_one(GatewayPart::Connections));
     });
 }
